--- /dev/null
+++ b/src/cloud/fleet.ts
@@ -0,0 +1,257 @@
+import { type Clock, sleep } from '../clock.js';
+import type { HttpClient } from '../http/client.js';
+import type { Log } from '../log.js';
+import { isSummary, type Need, type Summary } from '../part/summary.js';
+import { Budget } from '../state/budget.js';
+import { keys } from '../state/keys.js';
+import type { Mirror } from '../state/mirror.js';
+import type { Store } from '../state/store.js';
+import * as wire from '../wire/cloud.js';
+import { type Offer, plan } from './plan.js';
+
+export interface FleetContext {
+  token: number;
+  parts: number;
+  http: HttpClient;
+  store: Store;
+  mirror: Mirror;
+  clock: Clock;
+  log: Log;
+  rps: number;
+  listLagMs: number;
+  leaseMs: number;
+  /** Whether we are certainly still the leader. */
+  valid(): boolean;
+}
+
+/** Rents and returns machines. Only the leader runs one. */
+export class Fleet {
+  readonly #budget: Budget;
+  readonly #listed = new Map<string, wire.ListedMachine & { seenAt: number }>();
+  /** Rented by us and not listed yet. */
+  readonly #rented = new Map<string, wire.ListedMachine & { at: number }>();
+  readonly #refused = new Map<string, number>();
+  readonly #returned = new Set<string>();
+  /** When a machine was last named by a part, and since when one has been asked to go. */
+  readonly #heard = new Map<string, number>();
+  readonly #startedAt: number;
+  #types = new Map<string, wire.MachineType>();
+  #requests = 0;
+  #listAt = Number.NEGATIVE_INFINITY;
+  #typesAt = Number.NEGATIVE_INFINITY;
+  #stopped = false;
+  #reachable = true;
+  #open: { offer: Offer; request: string; count: number } | null = null;
+
+  constructor(readonly ctx: FleetContext) {
+    this.#budget = new Budget(ctx.rps * 0.8, ctx.rps, ctx.clock);
+    this.#startedAt = ctx.clock.now();
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      try {
+        if (this.ctx.valid()) await this.#step();
+        if (!this.#reachable) this.ctx.log.info('cloud answers again');
+        this.#reachable = true;
+      } catch (error) {
+        if (this.#reachable) this.ctx.log.warn({ why: String(error) }, 'cloud does not answer');
+        this.#reachable = false;
+      }
+      await sleep(this.ctx.clock, 500);
+    }
+  }
+
+  async #call(method: string, path: string, body?: object): Promise<{ status: number; body: unknown }> {
+    while (!this.#budget.take(1)) await sleep(this.ctx.clock, 1000 / this.ctx.rps);
+    const answer = await this.ctx.http.call(method, path, body, 5000);
+    if (answer.status === 429) throw new Error('429');
+    return answer;
+  }
+
+  #summaries(): Summary[] {
+    const all: Summary[] = [];
+    for (let part = 0; part < this.ctx.parts; part++) {
+      const value = this.ctx.mirror.rows.get(keys.summary(part))?.value;
+      if (isSummary(value)) all.push(value);
+    }
+    return all;
+  }
+
+  async #step(): Promise<void> {
+    const now = this.ctx.clock.now();
+    if (this.#types.size === 0 || now - this.#typesAt > 30_000) await this.#readTypes();
+    if (now - this.#listAt > this.ctx.listLagMs / 4) await this.#readList();
+    const summaries = this.#summaries();
+    for (const { machines } of summaries) for (const id of machines) this.#heard.set(id, now);
+    await this.#giveBack(summaries);
+    await this.#rent(summaries);
+  }
+
+  async #readTypes(): Promise<void> {
+    const answer = await this.#call('GET', wire.paths.types);
+    const types = answer.status === 200 ? wire.parseTypes(answer.body) : null;
+    if (types === null) throw new Error(`machine types: ${answer.status}`);
+    this.#types = new Map(types.map((type) => [type.name, type]));
+    this.#typesAt = this.ctx.clock.now();
+    // The others need sizes and zones, which do not change; prices are the leader's business.
+    const shown = types.map(({ name, cpus, gpus, memGb, bootS, zones }) => ({
+      name, cpus, gpus, memGb, bootS, zones, price: 0, spotPrice: 0,
+    }));
+    const row = this.ctx.mirror.rows.get(keys.types);
+    if (JSON.stringify(row?.value) === JSON.stringify(shown)) return;
+    await this.ctx.store.transact(
+      [{ key: keys.leader, version: this.ctx.token }],
+      [{ put: keys.types, value: shown }],
+    );
+  }
+
+  async #readList(): Promise<void> {
+    const found: wire.ListedMachine[] = [];
+    let after = '';
+    for (;;) {
+      const answer = await this.#call('GET', wire.paths.list(after));
+      const page = answer.status === 200 ? wire.parseMachines(answer.body) : null;
+      if (page === null) throw new Error(`machine list: ${answer.status}`);
+      found.push(...page.machines);
+      const last = page.machines.at(-1);
+      if (!page.more || last === undefined) break;
+      after = last.id;
+    }
+    const now = this.ctx.clock.now();
+    this.#listAt = now;
+    for (const machine of found) {
+      this.#listed.set(machine.id, { ...machine, seenAt: now });
+      this.#rented.delete(machine.id);
+    }
+    // Lists lag and may be older than the one before, so one missing entry says little.
+    for (const [id, machine] of this.#listed) {
+      if (now - machine.seenAt > 3 * this.ctx.listLagMs) this.#listed.delete(id);
+    }
+    for (const [id, machine] of this.#rented) {
+      if (now - machine.at > 6 * this.ctx.listLagMs) this.#rented.delete(id);
+    }
+  }
+
+  async #giveBack(summaries: Summary[]): Promise<void> {
+    const now = this.ctx.clock.now();
+    const gone = new Set<string>();
+    const waiting = summaries.reduce((sum, { waiting: w }) => sum + w, 0);
+    for (const { retired, idle } of summaries) {
+      for (const id of retired) gone.add(id);
+      if (waiting > 0) continue;
+      for (const [id, seconds] of Object.entries(idle)) {
+        const type = this.#types.get(this.#listed.get(id)?.type ?? '');
+        // One that is returned now costs its boot time again when it is needed.
+        if (seconds > Math.max(45, type?.bootS ?? 0)) gone.add(id);
+      }
+    }
+    for (const machine of this.#listed.values()) {
+      const type = this.#types.get(machine.type);
+      if (machine.state === 'failed') gone.add(machine.id);
+      const since = machine.ageS;
+      if (machine.state === 'booting' && type !== undefined && since > 5 * type.bootS + 30) {
+        gone.add(machine.id);
+      }
+    }
+    const names = [...gone].filter((id) => !this.#returned.has(id)).slice(0, wire.MAX_RETURN);
+    if (names.length === 0 || now - this.#startedAt < this.ctx.leaseMs / 4) return;
+    const answer = await this.#call('POST', wire.paths.giveBack, wire.returnBody(names));
+    if (answer.status !== 200) throw new Error(`return: ${answer.status}`);
+    this.ctx.log.info({ machines: names }, 'machines returned');
+    for (const id of names) {
+      this.#returned.add(id);
+      this.#listed.delete(id);
+      this.#rented.delete(id);
+    }
+    // The cloud confirmed it: everything on these machines is gone. The parts' owners read it here.
+    const ops = this.ctx.store.limits.ops;
+    for (let i = 0; i < names.length; i += ops) {
+      const slice = names.slice(i, i + ops);
+      await this.#until(() =>
+        this.ctx.store.transact([], slice.map((id) => ({ put: keys.gone(id), value: 1 }))),
+      );
+    }
+  }
+
+  /** Repeats what must be said; saying it twice does no harm. */
+  async #until(run: () => Promise<unknown>): Promise<void> {
+    for (;;) {
+      try {
+        await run();
+        return;
+      } catch {
+        if (this.#stopped) return;
+        await sleep(this.ctx.clock, 1000);
+      }
+    }
+  }
+
+  #offers(): Offer[] {
+    const now = this.ctx.clock.now();
+    const offers: Offer[] = [];
+    for (const type of this.#types.values()) {
+      for (const zone of type.zones) {
+        for (const spot of [true, false]) {
+          if ((this.#refused.get(`${type.name}/${zone}/${spot}`) ?? 0) > now) continue;
+          offers.push({ type, zone, spot, price: spot ? type.spotPrice : type.price });
+        }
+      }
+    }
+    return offers;
+  }
+
+  async #rent(summaries: Summary[]): Promise<void> {
+    if (summaries.length === 0) return;
+    const needs: Need[] = summaries.flatMap(({ need }) => need);
+    const booting = [...this.#rented.values(), ...this.#listed.values()].filter(
+      ({ id }) => !this.#heard.has(id) && !this.#returned.has(id),
+    );
+    for (const { offer, count } of plan(needs, booting, this.#types, this.#offers())) {
+      if (!this.ctx.valid()) return;
+      await this.#rentSome(offer, Math.min(count, wire.MAX_RENT));
+    }
+  }
+
+  async #rentSome(offer: Offer, count: number): Promise<void> {
+    // A name is used for one request only. It carries our token, so no other leader uses it.
+    if (this.#open === null) {
+      this.#requests++;
+      this.#open = { offer, count, request: `r-${this.ctx.token}-${this.#requests}` };
+    }
+    const open = this.#open;
+    const answer = await this.#call(
+      'POST',
+      wire.paths.rent,
+      wire.rentBody(open.request, open.offer.type.name, open.offer.zone, open.offer.spot, open.count),
+    );
+    const key = `${open.offer.type.name}/${open.offer.zone}/${open.offer.spot}`;
+    if (answer.status === 503) {
+      this.#open = null;
+      const trouble = (answer.body as { error?: string } | undefined)?.error !== 'no capacity';
+      if (trouble) throw new Error('cloud refuses');
+      this.#refused.set(key, this.ctx.clock.now() + 15_000);
+      return;
+    }
+    const machines = answer.status === 200 ? wire.parseRented(answer.body) : null;
+    this.#open = null;
+    if (machines === null) throw new Error(`rent: ${answer.status}`);
+    const now = this.ctx.clock.now();
+    for (const id of machines) {
+      this.#rented.set(id, {
+        id, type: open.offer.type.name, zone: open.offer.zone, spot: open.offer.spot,
+        state: 'booting', ageS: 0, at: now,
+      });
+    }
+    if (machines.length < open.count) this.#refused.set(key, now + 15_000);
+    this.ctx.log.info({ request: open.request, type: open.offer.type.name, zone: open.offer.zone, spot: open.offer.spot, machines }, 'machines rented');
+  }
+}
--- /dev/null
+++ b/src/fair/preempt.ts
@@ -0,0 +1,112 @@
+import { type Amounts, compareShares, EPSILON, type Tree } from './share.js';
+
+/** Something that may be stopped: one task of an array, or all that must stop together. */
+export interface Victim {
+  id: string;
+  team: string;
+  /** Lower is stopped first. */
+  rank: number;
+  size: Amounts;
+  /** Saved work first, among otherwise equal ones. */
+  loss: number;
+}
+
+export interface Asker {
+  team: string;
+  rank: number;
+  size: Amounts;
+}
+
+export type Reason = 'priority' | 'reclaim' | 'fair' | 'greedy';
+
+export interface Pick {
+  victim: Victim;
+  reason: Reason;
+}
+
+/**
+ * Why `victim` may be stopped for `asker`, or null. `reclaim` is S1 of KEP-1714, `fair` S2-a and
+ * `greedy` S2-b; `priority` is what PROTOCOL allows inside a team.
+ */
+export function mayStop(tree: Tree, asker: Asker, victim: Victim): Reason | null {
+  if (victim.team === asker.team) return victim.rank < asker.rank ? 'priority' : null;
+  const groups = tree.siblings(asker.team, victim.team);
+  if (groups === null) return null;
+  // Someone who uses only what is guaranteed, anywhere on the way up, is not to blame.
+  for (const group of tree.path(victim.team)) {
+    if (!tree.borrows(group)) return null;
+    if (group === groups.y) break;
+  }
+  if (!tree.borrows(groups.x, asker.size)) return 'reclaim';
+  const mine = tree.share(groups.x, asker.size);
+  const without = tree.share(groups.y, {
+    cpus: -victim.size.cpus,
+    gpus: -victim.size.gpus,
+  });
+  if (without >= mine - EPSILON && victim.rank <= asker.rank) return 'fair';
+  if (tree.share(groups.y) > mine + EPSILON && victim.rank <= asker.rank) return 'greedy';
+  return null;
+}
+
+/**
+ * Picks what to stop so that `fits` becomes true: from the highest share (C1), then the lowest
+ * priority (C2), then the smallest (C3). S2-b is used only when nothing else is left. Picks that
+ * turn out not to be needed are put back.
+ */
+export function chooseVictims(
+  tree: Tree,
+  asker: Asker,
+  victims: readonly Victim[],
+  fits: (stopped: ReadonlySet<string>) => boolean,
+  most: number,
+): Pick[] {
+  const picked: Pick[] = [];
+  const stopped = new Set<string>();
+  const left = new Set(victims);
+  while (!fits(stopped) && picked.length < most) {
+    let best: Pick | null = null;
+    let bestShares: number[] = [];
+    for (const victim of left) {
+      const reason = mayStop(tree, asker, victim);
+      if (reason === null) continue;
+      const shares = tree.shares(victim.team);
+      if (best === null || before(victim, reason, shares, best, bestShares)) {
+        best = { victim, reason };
+        bestShares = shares;
+      }
+    }
+    if (best === null) break;
+    left.delete(best.victim);
+    stopped.add(best.victim.id);
+    tree.charge(best.victim.team, best.victim.size, -1);
+    picked.push(best);
+  }
+  const enough = fits(stopped);
+  const kept: Pick[] = [];
+  for (const pick of picked) {
+    // Put back what frees nothing that is needed.
+    stopped.delete(pick.victim.id);
+    if (enough && !fits(stopped)) {
+      stopped.add(pick.victim.id);
+      kept.push(pick);
+    }
+  }
+  for (const pick of picked) tree.charge(pick.victim.team, pick.victim.size, 1);
+  return enough ? kept : [];
+}
+
+function before(
+  victim: Victim,
+  reason: Reason,
+  shares: number[],
+  best: Pick,
+  bestShares: number[],
+): boolean {
+  if ((reason === 'greedy') !== (best.reason === 'greedy')) return best.reason === 'greedy';
+  const byShare = compareShares(shares, bestShares);
+  if (byShare !== 0) return byShare > 0;
+  const other = best.victim;
+  if (victim.rank !== other.rank) return victim.rank < other.rank;
+  if (victim.size.cpus !== other.size.cpus) return victim.size.cpus < other.size.cpus;
+  return victim.loss < other.loss;
+}
--- /dev/null
+++ b/src/fair/share.ts
@@ -0,0 +1,136 @@
+/** Amounts of what teams share. */
+export interface Amounts {
+  cpus: number;
+  gpus: number;
+}
+
+export const add = (a: Amounts, b: Amounts): Amounts => ({
+  cpus: a.cpus + b.cpus,
+  gpus: a.gpus + b.gpus,
+});
+export const minus = (a: Amounts, b: Amounts): Amounts => ({
+  cpus: a.cpus - b.cpus,
+  gpus: a.gpus - b.gpus,
+});
+export const EPSILON = 1e-6;
+export const within = (a: Amounts, limit: Amounts): boolean =>
+  a.cpus <= limit.cpus + EPSILON && a.gpus <= limit.gpus + EPSILON;
+
+/** A team, or a group of teams and groups. The root has no parent and stands for everything. */
+export interface Group {
+  name: string;
+  parent: string | null;
+  weight: number;
+  /** A team's guarantee; for a group the sum over its members. */
+  nominal: Amounts;
+  /** What it lends to others at most; without it, all of its guarantee. */
+  lending?: Amounts;
+}
+
+export const ROOT = '';
+
+/** The tree of teams with their use. Use is counted at every level from a team to the root. */
+export class Tree {
+  readonly #groups = new Map<string, Group>();
+  readonly #paths = new Map<string, string[]>();
+  readonly #use = new Map<string, Amounts>();
+
+  constructor(groups: Group[]) {
+    for (const group of groups) this.#groups.set(group.name, group);
+    for (const group of groups) {
+      const path: string[] = [];
+      for (
+        let at: Group | undefined = group;
+        at !== undefined;
+        at = at.parent === null ? undefined : this.#groups.get(at.parent)
+      ) {
+        path.push(at.name);
+      }
+      this.#paths.set(group.name, path);
+      this.#use.set(group.name, { cpus: 0, gpus: 0 });
+    }
+  }
+
+  /** From the team up to the root. */
+  path(team: string): string[] {
+    return this.#paths.get(team) ?? [];
+  }
+
+  use(group: string): Amounts {
+    return this.#use.get(group) ?? { cpus: 0, gpus: 0 };
+  }
+
+  charge(team: string, amounts: Amounts, sign: 1 | -1 = 1): void {
+    for (const group of this.path(team)) {
+      const use = this.#use.get(group)!;
+      use.cpus += sign * amounts.cpus;
+      use.gpus += sign * amounts.gpus;
+    }
+  }
+
+  borrows(group: string, extra: Amounts = { cpus: 0, gpus: 0 }): boolean {
+    const { nominal } = this.#groups.get(group)!;
+    return !within(add(this.use(group), extra), nominal);
+  }
+
+  /**
+   * The largest ratio, over the resources, of what a group uses above its guarantee and what its
+   * parent's members guarantee (or lend) together, divided by its weight. KEP-1714, "Share value
+   * function and weights".
+   */
+  share(group: string, extra: Amounts = { cpus: 0, gpus: 0 }): number {
+    const own = this.#groups.get(group)!;
+    if (own.parent === null) return 0;
+    const parent = this.#groups.get(own.parent)!;
+    const pool = parent.lending ?? parent.nominal;
+    const over = minus(add(this.use(group), extra), own.nominal);
+    const ratio = (above: number, of: number): number =>
+      above <= EPSILON ? 0 : of > 0 ? above / of : Number.POSITIVE_INFINITY;
+    return Math.max(ratio(over.cpus, pool.cpus), ratio(over.gpus, pool.gpus)) / own.weight;
+  }
+
+  /** Shares from below the root down to the team: compared level by level. */
+  shares(team: string): number[] {
+    return this.path(team)
+      .slice(0, -1)
+      .reverse()
+      .map((group) => this.share(group));
+  }
+
+  /** The sibling groups, below the lowest common ancestor, that hold `x` and `y`. */
+  siblings(x: string, y: string): { x: string; y: string } | null {
+    const ancestors = new Set(this.path(x));
+    const path = this.path(y);
+    const at = path.findIndex((group) => ancestors.has(group));
+    if (at <= 0) return null;
+    const common = path[at]!;
+    const mine = this.path(x);
+    const below = mine.indexOf(common) - 1;
+    return below < 0 ? null : { x: mine[below]!, y: path[at - 1]! };
+  }
+}
+
+export function compareShares(a: number[], b: number[]): number {
+  for (let i = 0; i < Math.max(a.length, b.length); i++) {
+    const difference = (a[i] ?? 0) - (b[i] ?? 0);
+    if (Math.abs(difference) > EPSILON) return difference;
+  }
+  return 0;
+}
+
+/** The flat tree of the platform's teams. */
+export function flatTree(
+  teams: { name: string; cpus: number; gpus: number }[],
+  weights: ReadonlyMap<string, number> = new Map(),
+): Tree {
+  const nominal = teams.reduce<Amounts>((sum, team) => add(sum, team), { cpus: 0, gpus: 0 });
+  return new Tree([
+    { name: ROOT, parent: null, weight: 1, nominal },
+    ...teams.map((team) => ({
+      name: team.name,
+      parent: ROOT,
+      weight: weights.get(team.name) ?? 1,
+      nominal: { cpus: team.cpus, gpus: team.gpus },
+    })),
+  ]);
+}
--- /dev/null
+++ b/src/http/server.ts
@@ -0,0 +1,108 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Log } from '../log.js';
+import { decode, encode } from '../wire/cbor.js';
+
+export interface Reply {
+  status: number;
+  body?: object;
+  headers?: Record<string, string>;
+}
+
+export interface Route {
+  method: 'GET' | 'POST';
+  /** Returns the reply at once or later; a rejected promise is answered with 503. */
+  run(input: { body: unknown; params: string[] }): Reply | Promise<Reply>;
+}
+
+export interface Router {
+  /** All methods known for a path, or null when the path is unknown. */
+  find(path: string): { routes: Route[]; params: string[] } | null;
+}
+
+export const BODY_LIMIT = 64 * 1024;
+
+export const retryLater = (status: 429 | 503, reason: string, seconds = 1): Reply => ({
+  status,
+  body: { error: reason },
+  headers: { 'retry-after': String(seconds) },
+});
+
+function send(res: ServerResponse, reply: Reply): void {
+  if (res.headersSent || res.destroyed) return;
+  const payload = reply.body === undefined ? Buffer.alloc(0) : encode(reply.body);
+  res.writeHead(reply.status, {
+    'content-type': 'application/cbor',
+    'content-length': payload.length,
+    ...reply.headers,
+  });
+  res.end(payload);
+}
+
+function handle(router: Router, log: Log, req: IncomingMessage, res: ServerResponse): void {
+  const url = req.url ?? '/';
+  const mark = url.indexOf('?');
+  const found = router.find(mark < 0 ? url : url.slice(0, mark));
+  const refuse = (status: number, reason: string): void => {
+    // What is left of the body is not read, so the connection cannot be used again.
+    send(res, { status, body: { error: reason }, headers: { connection: 'close' } });
+    req.resume();
+  };
+  const declared = Number(req.headers['content-length'] ?? 0);
+  if (declared > BODY_LIMIT) return refuse(413, 'body too large');
+  if (found === null) return refuse(404, 'unknown path');
+  const route = found.routes.find((candidate) => candidate.method === req.method);
+  if (route === undefined) return refuse(405, 'method not allowed');
+
+  const chunks: Buffer[] = [];
+  let size = 0;
+  req.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size <= BODY_LIMIT) chunks.push(chunk);
+    else if (!res.headersSent) refuse(413, 'body too large');
+  });
+  req.on('error', () => res.destroy());
+  req.on('end', () => {
+    if (res.headersSent) return;
+    let body: unknown;
+    if (route.method === 'POST' && size > 0) {
+      try {
+        body = decode(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+      } catch {
+        send(res, { status: 400, body: { error: 'the body is not CBOR' } });
+        return;
+      }
+    }
+    const failed = (error: unknown): void => {
+      log.error({ err: error, path: url }, 'request failed');
+      send(res, retryLater(503, 'internal error'));
+    };
+    try {
+      const reply = route.run({ body, params: found.params });
+      if (reply instanceof Promise) reply.then((value) => send(res, value), failed);
+      else send(res, reply);
+    } catch (error) {
+      failed(error);
+    }
+  });
+}
+
+export function startServer(
+  address: string,
+  router: Router,
+  log: Log,
+  maxConnections: number,
+): Promise<Server> {
+  const server = createServer({ keepAliveTimeout: 0, requestTimeout: 20_000 }, (req, res) =>
+    handle(router, log, req, res),
+  );
+  server.maxConnections = maxConnections;
+  const colon = address.lastIndexOf(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () => {
+      server.off('error', reject);
+      server.on('error', (error) => log.error({ err: error }, 'listener'));
+      resolve(server);
+    });
+  });
+}
--- /dev/null
+++ b/src/jobs/chunk.ts
@@ -0,0 +1,149 @@
+/** The record of a chunk of tasks, as kept in the store: written by its part's owner alone. */
+export interface ChunkRecord {
+  /** Highest attempt number given out so far. */
+  a: number;
+  /** Completed tasks as ranges, relative to the first task: `0-3,7`. */
+  d: string;
+  /** Placed tasks, proved gone not yet: index -> [attempt, machine]. */
+  l: Record<string, [number, string]>;
+}
+
+export interface Live {
+  readonly task: string;
+  readonly index: number;
+  readonly attempt: number;
+  readonly machine: string;
+  /** Version of the chunk that first contains this placement. */
+  readonly version: number;
+  /** When this owner placed it, or loaded it. */
+  readonly since: number;
+  /** The report in whose answer the start was last sent. */
+  told: { session: number; seq: number } | null;
+  /** When a report first listed it. */
+  seenAt: number | null;
+  running: boolean;
+  /** Why it is being stopped, with the time given to save. */
+  stop: { graceS: number; reason: string; askedAt: number } | null;
+}
+
+export class Chunk {
+  attempts = 0;
+  readonly done: Uint8Array;
+  doneCount = 0;
+  readonly live = new Map<number, Live>();
+  /** Version of the record in the store; 0 when there is none. */
+  stamp = 0;
+  /** Counts changes in memory; `saved` is the last one known to be in the store. */
+  version = 0;
+  saved = 0;
+  saving = false;
+  /** Tasks before this one are all placed or done. */
+  cursor = 0;
+
+  constructor(
+    readonly job: string,
+    readonly index: number,
+    readonly first: number,
+    readonly size: number,
+  ) {
+    this.done = new Uint8Array(size);
+  }
+
+  get pending(): number {
+    return this.size - this.doneCount - this.live.size;
+  }
+
+  get complete(): boolean {
+    return this.doneCount === this.size;
+  }
+
+  /** The next task that is neither done nor placed, relative to the chunk. */
+  nextPending(): number | null {
+    for (let i = this.cursor; i < this.size; i++) {
+      if (this.done[i] === 0 && !this.live.has(i)) {
+        this.cursor = i;
+        return i;
+      }
+    }
+    return null;
+  }
+
+  place(index: number, machine: string, now: number): Live {
+    this.version++;
+    this.attempts++;
+    const live: Live = {
+      task: `${this.job}/${this.first + index}`,
+      index,
+      attempt: this.attempts,
+      machine,
+      version: this.version,
+      since: now,
+      told: null,
+      seenAt: null,
+      running: false,
+      stop: null,
+    };
+    this.live.set(index, live);
+    return live;
+  }
+
+  /** The task is proved gone from its machine, with or without having completed. */
+  release(live: Live, completed: boolean): void {
+    if (this.live.get(live.index) !== live) return;
+    this.version++;
+    this.live.delete(live.index);
+    if (completed) {
+      this.done[live.index] = 1;
+      this.doneCount++;
+    } else {
+      this.cursor = Math.min(this.cursor, live.index);
+    }
+  }
+
+  record(): ChunkRecord {
+    const l: ChunkRecord['l'] = {};
+    for (const live of this.live.values()) l[live.index] = [live.attempt, live.machine];
+    return { a: this.attempts, d: ranges(this.done), l };
+  }
+
+  load(record: ChunkRecord, stamp: number, now: number): void {
+    this.stamp = stamp;
+    this.attempts = record.a;
+    for (const range of record.d === '' ? [] : record.d.split(',')) {
+      const [from, to] = range.split('-').map(Number) as [number, number?];
+      for (let i = from; i <= (to ?? from) && i < this.size; i++) {
+        if (this.done[i] === 0) this.doneCount++;
+        this.done[i] = 1;
+      }
+    }
+    for (const [index, [attempt, machine]] of Object.entries(record.l)) {
+      this.live.set(Number(index), {
+        task: `${this.job}/${this.first + Number(index)}`,
+        index: Number(index),
+        attempt,
+        machine,
+        version: 0,
+        since: now,
+        told: null,
+        seenAt: null,
+        running: false,
+        stop: null,
+      });
+    }
+  }
+}
+
+export function ranges(flags: Uint8Array): string {
+  const out: string[] = [];
+  for (let i = 0; i < flags.length; i++) {
+    if (flags[i] === 0) continue;
+    const from = i;
+    while (i + 1 < flags.length && flags[i + 1] !== 0) i++;
+    out.push(from === i ? `${from}` : `${from}-${i}`);
+  }
+  return out.join(',');
+}
+
+export function isChunkRecord(value: unknown): value is ChunkRecord {
+  return typeof value === 'object' && value !== null && 'a' in value && 'd' in value && 'l' in value;
+}
--- /dev/null
+++ b/src/node.ts
@@ -0,0 +1,416 @@
+import { randomUUID } from 'node:crypto';
+import type { Server } from 'node:http';
+import { type Clock, sleep, systemClock } from './clock.js';
+import { Fleet } from './cloud/fleet.js';
+import { type Amounts, flatTree, within } from './fair/share.js';
+import { HttpClient } from './http/client.js';
+import { type Reply, type Route, type Router, retryLater, startServer } from './http/server.js';
+import { chunkSizeFor, type Header, isHeader, partChar, shownStatus } from './jobs/header.js';
+import type { Log } from './log.js';
+import { Layout } from './membership/layout.js';
+import { Membership } from './membership/membership.js';
+import { Part } from './part/part.js';
+import { isSummary } from './part/summary.js';
+import { clusterOf, type Settings } from './settings/settings.js';
+import { keys } from './state/keys.js';
+import { Mirror } from './state/mirror.js';
+import { Refused, type Store, StoreClient } from './state/store.js';
+import type { MachineType } from './wire/cloud.js';
+import { isJobId, type JobSpec, parseSubmission, statusBody } from './wire/jobs.js';
+import { parseReport, redirectAnswer } from './wire/workers.js';
+import { typeFits } from './workers/machine.js';
+
+export interface NodeOptions {
+  settings: Settings;
+  log: Log;
+  clock?: Clock;
+}
+
+/** One controller: answers users and workers, owns parts, and leads when it is its turn. */
+export class ControllerNode {
+  readonly #settings: Settings;
+  readonly #log: Log;
+  readonly #clock: Clock;
+  readonly #layout: Layout;
+  readonly #store: Store;
+  readonly #mirror: Mirror;
+  readonly #membership: Membership;
+  readonly #cloud: HttpClient;
+  readonly #parts = new Map<number, Part>();
+  readonly #limits: Map<string, Amounts>;
+  #types = new Map<string, MachineType>();
+  #fleet: Fleet | null = null;
+  #server: Server | null = null;
+
+  constructor({ settings, log, clock = systemClock }: NodeOptions) {
+    this.#settings = settings;
+    this.#log = log;
+    this.#clock = clock;
+    const { params, services } = settings;
+    const cluster = clusterOf(settings);
+    this.#layout = new Layout(cluster);
+    // A controller may use more than its even part of the budgets: the others are rarely busy
+    // at the same moment, and what the service refuses is not executed.
+    const part = Math.min(1, 1.5 / cluster.length);
+    this.#store = new StoreClient(
+      new HttpClient(services.state, Math.max(4, Math.floor(params.quota.max_sockets / 20)), clock),
+      {
+        rps: params.state.rps * part,
+        writeRps: params.state.write_rps * part,
+        ops: params.state.txn_ops,
+        conditions: params.state.txn_ops * 4,
+        valueBytes: params.state.value_kb * 1024,
+        txnBytes: 48 * 1024,
+      },
+      clock,
+      params.workers.report_s * 1000,
+    );
+    this.#cloud = new HttpClient(services.cloud, 4, clock);
+    this.#mirror = new Mirror(this.#store, clock, log, params.workers.report_s * 500);
+    this.#limits = new Map(
+      params.teams.map((team) => [team.name, { cpus: team.cpus_max, gpus: team.gpus_max }]),
+    );
+    this.#membership = new Membership(
+      settings.node_name,
+      randomUUID(),
+      this.#layout,
+      this.#store,
+      this.#mirror,
+      clock,
+      log,
+      {
+        gained: (index, token) => void this.#gained(index, token),
+        lost: (index, why) => this.#lost(index, why),
+        leading: (token) => this.#lead(token),
+        deposed: () => this.#depose(),
+      },
+      params.workers.lease_s,
+    );
+    this.#mirror.on('w/j/', ({ key, value }) => {
+      if (!isHeader(value)) return;
+      for (const owner of this.#parts.values()) {
+        owner.tell({ kind: 'header', id: key.slice(4), header: value });
+      }
+    });
+    this.#mirror.on('w/g/', ({ key }) => {
+      for (const owner of this.#parts.values()) owner.tell({ kind: 'gone', machine: key.slice(4) });
+    });
+    this.#mirror.on(keys.types, ({ value }) => {
+      if (!Array.isArray(value)) return;
+      this.#types = new Map((value as MachineType[]).map((type) => [type.name, type]));
+    });
+  }
+
+  async start(): Promise<void> {
+    this.#server = await startServer(
+      this.#settings.listen,
+      this.#router(),
+      this.#log,
+      Math.floor(this.#settings.params.quota.max_sockets * 0.9),
+    );
+    void this.#mirror.run();
+    this.#membership.start();
+    this.#log.info({ listen: this.#settings.listen }, 'started');
+  }
+
+  stop(): void {
+    this.#mirror.stop();
+    this.#membership.stop();
+    this.#fleet?.stop();
+    for (const part of this.#parts.values()) part.tell({ kind: 'stop' });
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    this.#cloud.close();
+  }
+
+  // ---- parts and leadership --------------------------------------------------------------
+
+  async #gained(index: number, token: number): Promise<void> {
+    const { params } = this.#settings;
+    const held = (): boolean => this.#membership.owned.get(index) === token;
+    this.#log.info({ part: index, token }, 'part claimed');
+    while (held()) {
+      try {
+        const { rows } = await this.#store.list(keys.chunks(index));
+        await this.#mirror.reached(token);
+        if (!held()) return;
+        const part = new Part(
+          {
+            index,
+            parts: this.#layout.parts,
+            token,
+            store: this.#store,
+            mirror: this.#mirror,
+            clock: this.#clock,
+            log: this.#log,
+            valid: () => this.#membership.valid(),
+            types: () => this.#types,
+            newTree: () => flatTree(params.teams),
+            limits: this.#limits,
+            reportMs: params.workers.report_s * 1000,
+            leaseMs: params.workers.lease_s * 1000,
+            cancelMs: params.workers.cancel_s * 1000,
+            lost: (why) => {
+              if (held()) {
+                this.#membership.owned.delete(index);
+                this.#lost(index, why);
+              }
+            },
+          },
+          rows,
+        );
+        this.#parts.set(index, part);
+        return;
+      } catch (error) {
+        this.#log.debug({ part: index, why: String(error) }, 'part not loaded yet');
+        await sleep(this.#clock, (params.workers.report_s * 1000) / 8);
+      }
+    }
+  }
+
+  #lost(index: number, why: string): void {
+    this.#log.info({ part: index, why }, 'part given up');
+    this.#parts.get(index)?.tell({ kind: 'stop' });
+    this.#parts.delete(index);
+  }
+
+  #lead(token: number): void {
+    this.#depose();
+    const { params } = this.#settings;
+    this.#log.info({ token }, 'leading');
+    this.#fleet = new Fleet({
+      token,
+      parts: this.#layout.parts,
+      http: this.#cloud,
+      store: this.#store,
+      mirror: this.#mirror,
+      clock: this.#clock,
+      log: this.#log,
+      rps: params.cloud.rps,
+      listLagMs: params.cloud.list_lag_s * 1000,
+      leaseMs: params.workers.lease_s * 1000,
+      valid: () => this.#membership.valid() && this.#membership.leaderToken === token,
+    });
+    this.#fleet.start();
+  }
+
+  #depose(): void {
+    this.#fleet?.stop();
+    this.#fleet = null;
+  }
+
+  // ---- requests --------------------------------------------------------------------------
+
+  #router(): Router {
+    const fixed = new Map<string, Route[]>([
+      ['/healthz', [{ method: 'GET', run: () => this.#health() }]],
+      ['/checkin', [{ method: 'POST', run: ({ body }) => this.#report(body) }]],
+      ['/api/jobs', [{ method: 'POST', run: ({ body }) => this.#submit(body) }]],
+    ]);
+    const show: Route[] = [{ method: 'GET', run: ({ params }) => this.#show(params[0]!) }];
+    const cancel: Route[] = [{ method: 'POST', run: ({ params }) => this.#cancel(params[0]!) }];
+    return {
+      find(path) {
+        const routes = fixed.get(path);
+        if (routes !== undefined) return { routes, params: [] };
+        const match = /^\/api\/jobs\/([^/]+)(\/withdraw)?$/.exec(path);
+        if (match === null) return null;
+        return { routes: match[2] === undefined ? show : cancel, params: [match[1]!] };
+      },
+    };
+  }
+
+  #contactAge(): number {
+    return this.#clock.now() - this.#mirror.contactAt;
+  }
+
+  #health(): Reply {
+    const fresh = this.#contactAge() < (this.#settings.params.workers.lease_s * 1000) / 2;
+    if (this.#types.size > 0 && fresh) return { status: 200, body: { ok: true } };
+    return retryLater(503, 'not ready');
+  }
+
+  #report(body: unknown): Reply | Promise<Reply> {
+    const parsed = parseReport(body);
+    if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
+    const report = parsed.value;
+    const index = this.#layout.partOf(report.machine, report.zone);
+    const part = this.#parts.get(index);
+    if (part === undefined) {
+      const owner = this.#membership.ownerOf(index);
+      if (owner === null || owner === this.#settings.node_name || !this.#mirror.ready) {
+        return retryLater(503, 'part has no owner yet');
+      }
+      return { status: 421, body: redirectAnswer(owner) };
+    }
+    // A job may be cancelled elsewhere without us hearing of it. Its tasks are gone in time only
+    // if the workers' leases end before that: so we stop answering early enough.
+    const { lease_s, cancel_s } = this.#settings.params.workers;
+    if (this.#contactAge() > (cancel_s - lease_s * 1.15) * 1000) {
+      return retryLater(503, 'out of touch');
+    }
+    return new Promise((resolve) => {
+      part.tell({ kind: 'report', report, reply: resolve });
+    });
+  }
+
+  #known(id: string): Header | null {
+    const row = this.#mirror.rows.get(keys.job(id));
+    return row !== undefined && isHeader(row.value) ? row.value : null;
+  }
+
+  /** The newest state of a job. Final states are safe to remember; others are read anew. */
+  async #current(id: string): Promise<{ header: Header; version: number } | null> {
+    const known = this.#mirror.rows.get(keys.job(id));
+    if (known !== undefined && isHeader(known.value) && known.value.status !== 'open') {
+      return { header: known.value, version: known.version };
+    }
+    const row = await this.#store.get(keys.job(id));
+    if (row === null) return null;
+    if (!isHeader(row.value)) throw new Error(`job ${id}: not a header`);
+    this.#mirror.apply({ ...row, deleted: false });
+    return { header: row.value, version: row.version };
+  }
+
+  #unavailable(error: unknown): Reply {
+    this.#log.debug({ why: String(error) }, 'store not available');
+    return retryLater(503, 'state service not available', error instanceof Refused ? 2 : 1);
+  }
+
+  async #submit(body: unknown): Promise<Reply> {
+    const parsed = parseSubmission(body);
+    if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
+    const { id, spec } = parsed.value;
+    try {
+      if (this.#known(id) === null) {
+        if (this.#types.size === 0) return retryLater(503, 'machine types not known yet');
+        const never = this.#neverRuns(spec);
+        if (never !== null) {
+          // Only a job that was never accepted may be refused.
+          const known = await this.#current(id);
+          if (known === null) return { status: 422, body: { error: never } };
+        } else {
+          if (!this.#store.writes.take(0, 1)) return retryLater(429, 'too many changes');
+          const header = this.#newHeader(spec);
+          const result = await this.#store.transact(
+            [{ key: keys.job(id), version: 0 }],
+            [{ put: keys.job(id), value: header }],
+          );
+          if (result.ok) {
+            this.#log.debug({ job: id, owners: header.owners }, 'job accepted');
+            this.#mirror.apply({ key: keys.job(id), value: header, version: result.revision, deleted: false });
+            return { status: 201, body: statusBody(id, 'pending') };
+          }
+        }
+      }
+      const known = await this.#current(id);
+      if (known === null) return retryLater(503, 'try again');
+      return { status: 200, body: statusBody(id, shownStatus(known.header)) };
+    } catch (error) {
+      return this.#unavailable(error);
+    }
+  }
+
+  #neverRuns(spec: JobSpec): string | null {
+    const limit = this.#limits.get(spec.team);
+    if (limit === undefined) return 'unknown team';
+    if (![...this.#types.values()].some((type) => typeFits(spec, type))) {
+      return 'a task fits no allowed machine type';
+    }
+    const times = spec.kind === 'service' ? spec.tasks : 1;
+    if (!within({ cpus: spec.cpus * times, gpus: spec.gpus * times }, limit)) {
+      return "more than the team's limit";
+    }
+    return null;
+  }
+
+  /** Splits a job's tasks between the parts, by the room they have. */
+  #newHeader(spec: JobSpec): Header {
+    const { parts } = this.#layout;
+    const chunkSize = chunkSizeFor(spec.tasks, parts, this.#store.limits.valueBytes);
+    const count = Math.ceil(spec.tasks / chunkSize);
+    const room = Array.from({ length: parts }, (_, part) => {
+      const value = this.#mirror.rows.get(keys.summary(part))?.value;
+      return isSummary(value) ? value.free - value.waiting : 0;
+    });
+    let owners = '';
+    let pinned: number | null = null;
+    for (let i = 0; i < count; i++) {
+      let best = 0;
+      for (let part = 1; part < parts; part++) if (room[part]! > room[best]!) best = part;
+      // Zone rules look at all tasks of a job at once, so one part has all of them.
+      if (spec.oneZone || spec.spread) {
+        pinned ??= best;
+        best = pinned;
+      }
+      room[best]! -= chunkSize * spec.cpus;
+      owners += partChar(best);
+    }
+    return {
+      status: 'open',
+      spec,
+      owners,
+      chunkSize,
+      at: Math.round(this.#clock.wall()),
+      started: false,
+      moves: 0,
+      tasks: spec.tasks,
+    };
+  }
+
+  async #show(id: string): Promise<Reply> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    try {
+      const known = await this.#current(id);
+      if (known === null) return { status: 404, body: { error: 'no such job' } };
+      return { status: 200, body: statusBody(id, shownStatus(known.header), this.#counts(id, known.header)) };
+    } catch (error) {
+      return this.#unavailable(error);
+    }
+  }
+
+  /** For display: what the finished chunks and our own parts say. */
+  #counts(id: string, header: Header): { done: number; running: number } {
+    if (header.status === 'done') return { done: header.tasks, running: 0 };
+    let done = 0;
+    let running = 0;
+    for (let i = 0; i < header.owners.length; i++) {
+      if (header.owners[i] !== 'x') continue;
+      done += Math.min(header.chunkSize, header.tasks - i * header.chunkSize);
+    }
+    for (const part of this.#parts.values()) {
+      for (const chunk of part.jobs.get(id)?.chunks.values() ?? []) {
+        if (header.owners[chunk.index] !== 'x') done += chunk.doneCount;
+        for (const live of chunk.live.values()) if (live.running) running++;
+      }
+    }
+    return { done, running };
+  }
+
+  async #cancel(id: string): Promise<Reply> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    try {
+      for (let attempt = 0; attempt < 4; attempt++) {
+        const known = await this.#current(id);
+        if (known === null) return { status: 404, body: { error: 'no such job' } };
+        const { header, version } = known;
+        if (header.status !== 'open') {
+          return { status: 200, body: statusBody(id, header.status) };
+        }
+        const next: Header = { ...header, status: 'cancelled' };
+        const result = await this.#store.transact(
+          [{ key: keys.job(id), version }],
+          [{ put: keys.job(id), value: next }],
+        );
+        if (result.ok) {
+          this.#mirror.apply({ key: keys.job(id), value: next, version: result.revision, deleted: false });
+          this.#log.info({ job: id }, 'job cancelled');
+          return { status: 200, body: statusBody(id, 'cancelled') };
+        }
+      }
+      return retryLater(503, 'try again');
+    } catch (error) {
+      return this.#unavailable(error);
+    }
+  }
+}
--- /dev/null
+++ b/src/part/part.ts
@@ -0,0 +1,1020 @@
+import { Actor } from '../actor.js';
+import type { Clock } from '../clock.js';
+import { chooseVictims, type Victim } from '../fair/preempt.js';
+import { type Amounts, add, compareShares, minus, type Tree, within } from '../fair/share.js';
+import type { Reply } from '../http/server.js';
+import { Chunk, isChunkRecord, type Live } from '../jobs/chunk.js';
+import {
+  allFinished,
+  FINISHED,
+  finalHeader,
+  type Header,
+  isHeader,
+  partChar,
+  withOwner,
+} from '../jobs/header.js';
+import type { Log } from '../log.js';
+import {
+  freeOf,
+  isSliceRecord,
+  reslice,
+  type SliceRecord,
+  sliceOf,
+  smaller,
+} from '../quota/slices.js';
+import { keys } from '../state/keys.js';
+import type { Mirror } from '../state/mirror.js';
+import { type Change, type Condition, Refused, type Row, type Store } from '../state/store.js';
+import type { MachineType } from '../wire/cloud.js';
+import type { JobSpec } from '../wire/jobs.js';
+import * as wire from '../wire/workers.js';
+import { allowed, fitsRoom, Machine, type Room, zoneAllowed } from '../workers/machine.js';
+import { isSummary, type Need, type Summary } from './summary.js';
+
+export interface PartContext {
+  index: number;
+  parts: number;
+  token: number;
+  store: Store;
+  mirror: Mirror;
+  clock: Clock;
+  log: Log;
+  /** Whether our lease cannot have ended yet. */
+  valid(): boolean;
+  types(): ReadonlyMap<string, MachineType>;
+  newTree(): Tree;
+  limits: ReadonlyMap<string, Amounts>;
+  reportMs: number;
+  leaseMs: number;
+  cancelMs: number;
+  /** Our claim is gone: stop at once. */
+  lost(why: string): void;
+}
+
+export type PartMessage =
+  | { kind: 'report'; report: wire.Report; reply(answer: Reply): void }
+  | { kind: 'header'; id: string; header: Header }
+  | { kind: 'gone'; machine: string }
+  | { kind: 'moved'; job: string; chunk: number; row: Row | null }
+  | { kind: 'tick' }
+  | { kind: 'committed'; batch: Batch; revision: number }
+  | { kind: 'refused'; batch: Batch; failed: Row[]; missing: string[] }
+  | { kind: 'stop' };
+
+interface Job {
+  id: string;
+  header: Header;
+  spec: JobSpec;
+  chunks: Map<number, Chunk>;
+  /** Failures in a row, on whatever machine. */
+  failures: number;
+  notBefore: number;
+  waitingSince: number;
+}
+
+/** One transaction on its way. */
+interface Batch {
+  when: Condition[];
+  then: Change[];
+  saves: { chunk: Chunk; version: number; deletes: boolean }[];
+  headers: { id: string; header: Header }[];
+  slices: { team: string; before: Amounts; record: SliceRecord }[];
+}
+
+const ZERO: Amounts = { cpus: 0, gpus: 0 };
+
+/**
+ * Owns one part: the machines hashed into it and the chunks of jobs given to it. Everything it
+ * decides is committed on condition of its claim's version before it takes effect.
+ */
+export class Part extends Actor<PartMessage> {
+  readonly machines = new Map<string, Machine>();
+  readonly jobs = new Map<string, Job>();
+  readonly #loading = new Set<string>();
+  /** Committed slices; what a lowering in flight gives up is no longer counted. */
+  readonly #slices = new Map<string, Amounts>();
+  readonly #use = new Map<string, Amounts>();
+  readonly #short = new Map<string, Amounts>();
+  #saving = false;
+  #retryAt = 0;
+  #tickAt = 0;
+  #timerSet = false;
+  #summaryAt = 0;
+  #lastWaiting = 0;
+  #preempted = 0;
+
+  constructor(
+    readonly ctx: PartContext,
+    records: Row[],
+  ) {
+    super();
+    const now = ctx.clock.now();
+    const byKey = new Map(records.map((row) => [row.key, row]));
+    for (const [key, row] of ctx.mirror.rows) {
+      if (key.startsWith('w/j/') && isHeader(row.value)) {
+        this.#takeIn(key.slice(4), row.value, byKey);
+      } else if (key.startsWith('w/g/')) {
+        // Machines returned before our time: nothing of theirs is left.
+        this.#machineGone(key.slice(4));
+      }
+    }
+    for (const team of ctx.limits.keys()) {
+      const row = ctx.mirror.rows.get(keys.quota(team));
+      this.#slices.set(team, sliceOf(isSliceRecord(row?.value) ? row.value : {}, ctx.index));
+    }
+    ctx.log.info(
+      { part: ctx.index, token: ctx.token, jobs: this.jobs.size, machines: this.machines.size, now: Math.round(now) },
+      'part taken over',
+    );
+    this.#soon(0);
+  }
+
+  protected receive(message: PartMessage): void {
+    switch (message.kind) {
+      case 'report':
+        message.reply(this.#onReport(message.report));
+        break;
+      case 'header':
+        this.#onHeader(message.id, message.header);
+        break;
+      case 'gone':
+        this.#machineGone(message.machine);
+        this.#soon();
+        break;
+      case 'moved':
+        this.#onMoved(message.job, message.chunk, message.row);
+        break;
+      case 'tick':
+        this.#timerSet = false;
+        this.#tick();
+        break;
+      case 'committed':
+        this.#onCommitted(message.batch, message.revision);
+        break;
+      case 'refused':
+        this.#onRefused(message.batch, message.failed, message.missing);
+        break;
+      case 'stop':
+        this.halt();
+        break;
+    }
+  }
+
+  // ---- jobs ------------------------------------------------------------------------------
+
+  #onHeader(id: string, header: Header): void {
+    const job = this.jobs.get(id);
+    if (job !== undefined) {
+      job.header = header;
+      if (header.spec !== undefined) job.spec = header.spec;
+    }
+    this.#takeIn(id, header, null);
+    if (header.status === 'cancelled' && job !== undefined) this.#cancel(job);
+    this.#soon(0);
+  }
+
+  /** Adopts the chunks of a job that are ours and that we do not have yet. */
+  #takeIn(id: string, header: Header, records: Map<string, Row> | null): void {
+    if (header.spec === undefined) return;
+    const { index } = this.ctx;
+    const mine = partChar(index);
+    if (!header.owners.includes(mine)) return;
+    let job = this.jobs.get(id);
+    if (job === undefined) {
+      job = {
+        id,
+        header,
+        spec: header.spec,
+        chunks: new Map(),
+        failures: 0,
+        notBefore: 0,
+        waitingSince: this.ctx.clock.now(),
+      };
+      this.jobs.set(id, job);
+    }
+    for (let i = 0; i < header.owners.length; i++) {
+      if (header.owners[i] !== mine || job.chunks.has(i)) continue;
+      const key = keys.chunk(index, id, i);
+      const row = records?.get(key) ?? null;
+      if (row !== null || header.moves === 0) this.#adopt(job, i, row);
+      else if (!this.#loading.has(key)) {
+        // It came from another part, which may have left a record of what is done already.
+        this.#loading.add(key);
+        void this.#fetchMoved(id, i, key);
+      }
+    }
+    if (header.status === 'cancelled') this.#cancel(job);
+  }
+
+  async #fetchMoved(job: string, chunk: number, key: string): Promise<void> {
+    while (!this.stopped) {
+      try {
+        const row = await this.ctx.store.get(key);
+        this.tell({ kind: 'moved', job, chunk, row });
+        return;
+      } catch {
+        await new Promise<void>((resolve) => {
+          this.ctx.clock.after(this.ctx.reportMs / 4, resolve);
+        });
+      }
+    }
+  }
+
+  #onMoved(id: string, chunk: number, row: Row | null): void {
+    this.#loading.delete(keys.chunk(this.ctx.index, id, chunk));
+    const job = this.jobs.get(id);
+    if (job === undefined || job.chunks.has(chunk)) return;
+    if (job.header.owners[chunk] !== partChar(this.ctx.index)) return;
+    this.#adopt(job, chunk, row);
+    if (job.header.status === 'cancelled') this.#cancel(job);
+    this.#soon(0);
+  }
+
+  #adopt(job: Job, index: number, row: Row | null): void {
+    const first = index * job.header.chunkSize;
+    const size = Math.min(job.header.chunkSize, job.header.tasks - first);
+    const chunk = new Chunk(job.id, index, first, size);
+    const now = this.ctx.clock.now();
+    if (row !== null && isChunkRecord(row.value)) {
+      chunk.load(row.value, row.version, now);
+      for (const live of chunk.live.values()) {
+        this.#machine(live.machine).live.set(live.task, live);
+        this.#charge(job.spec, 1);
+      }
+    }
+    job.chunks.set(index, chunk);
+  }
+
+  #cancel(job: Job): void {
+    for (const chunk of job.chunks.values()) {
+      for (const live of [...chunk.live.values()]) {
+        // Placed by us and never told to the worker: it cannot have started. A loaded one may.
+        if (live.version > 0 && live.told === null) this.#release(job, chunk, live, false);
+        else this.#stopLive(live, 0, 'cancelled');
+      }
+    }
+  }
+
+  #charge(spec: JobSpec, sign: 1 | -1): void {
+    const amounts = { cpus: sign * spec.cpus, gpus: sign * spec.gpus };
+    this.#use.set(spec.team, add(this.#use.get(spec.team) ?? ZERO, amounts));
+  }
+
+  #release(job: Job, chunk: Chunk, live: Live, completed: boolean): void {
+    if (chunk.live.get(live.index) !== live) return;
+    chunk.release(live, completed);
+    this.#charge(job.spec, -1);
+    const machine = this.machines.get(live.machine);
+    if (machine !== undefined) {
+      machine.live.delete(live.task);
+      machine.touched();
+      if (machine.live.size === 0) machine.idleSince = this.ctx.clock.now();
+    }
+    if (!completed) job.waitingSince = this.ctx.clock.now();
+  }
+
+  #find(task: string): { job: Job; chunk: Chunk; index: number } | null {
+    const slash = task.lastIndexOf('/');
+    const job = this.jobs.get(task.slice(0, slash));
+    if (job === undefined) return null;
+    const number = Number(task.slice(slash + 1));
+    const chunk = job.chunks.get(Math.floor(number / job.header.chunkSize));
+    return chunk === undefined ? null : { job, chunk, index: number - chunk.first };
+  }
+
+  #specOf = (live: Live): JobSpec | undefined => this.#find(live.task)?.job.spec;
+
+  // ---- machines --------------------------------------------------------------------------
+
+  #machine(id: string): Machine {
+    let machine = this.machines.get(id);
+    if (machine === undefined) {
+      machine = new Machine(id, this.ctx.clock.now());
+      this.machines.set(id, machine);
+    }
+    return machine;
+  }
+
+  #machineGone(id: string): void {
+    const machine = this.machines.get(id);
+    if (machine === undefined) return;
+    this.machines.delete(id);
+    for (const live of [...machine.live.values()]) {
+      const found = this.#find(live.task);
+      if (found !== null) this.#release(found.job, found.chunk, live, false);
+    }
+    this.ctx.log.info({ part: this.ctx.index, machine: id, tasks: machine.live.size }, 'machine gone');
+  }
+
+  #stopLive(live: Live, graceS: number, reason: string): void {
+    if (live.stop !== null && live.stop.graceS <= graceS) return;
+    live.stop = { graceS, reason, askedAt: this.ctx.clock.now() };
+  }
+
+  #onReport(report: wire.Report): Reply {
+    const { token, index, clock } = this.ctx;
+    const ok = (commands: wire.Command[]): Reply => ({
+      status: 200,
+      body: wire.reportAnswer(token, commands),
+    });
+    // A newer owner has spoken to it: an answer of ours would be dropped and would hold it here.
+    if (report.token > token) return { status: 421, body: wire.redirectAnswer(null) };
+    if (this.ctx.mirror.rows.has(keys.gone(report.machine))) return ok([]);
+    const now = clock.now();
+    const machine = this.#machine(report.machine);
+    // A report that was held back on its way: the list is old, and nobody waits for an answer.
+    if (
+      machine.current &&
+      (report.session < machine.session ||
+        (report.session === machine.session && report.seq <= machine.seq))
+    ) {
+      return ok([]);
+    }
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    machine.address = report.address;
+    machine.lastSeen = now;
+    machine.noticeS = report.noticeS;
+    if (report.token < token) {
+      // It has not heard of us: a start by the previous owner may still be on its way to it.
+      // This answer gives it our token, after which only we can start anything.
+      return ok([]);
+    }
+    if (!machine.current) {
+      machine.current = true;
+      this.ctx.log.debug({ part: index, machine: machine.id }, 'machine follows us');
+    }
+    machine.session = report.session;
+    machine.seq = report.seq;
+    const commands: wire.Command[] = [];
+    const listed = new Set<string>();
+    machine.strays = [];
+    for (const task of report.tasks) this.#onTask(machine, task, listed, commands, now);
+    for (const live of [...machine.live.values()]) {
+      if (!listed.has(live.task)) this.#onAbsent(machine, live, commands, now);
+    }
+    machine.touched();
+    if (machine.noticeS !== null) this.#drain(machine);
+    this.#soon();
+    return ok(commands);
+  }
+
+  #onTask(
+    machine: Machine,
+    task: wire.ReportedTask,
+    listed: Set<string>,
+    commands: wire.Command[],
+    now: number,
+  ): void {
+    const found = this.#find(task.task);
+    const live = found?.chunk.live.get(found.index);
+    if (found === null || live === undefined || live.machine !== machine.id || live.attempt !== task.attempt) {
+      if (task.state === 'exited') {
+        // Its end must be in the store before the worker may forget it.
+        if (found === null || found.chunk.saved >= found.chunk.version) {
+          commands.push(wire.forgetTask(task.task, task.attempt));
+        }
+      } else {
+        const spec = found?.job.spec;
+        machine.strays.push(spec ?? { cpus: 0, gpus: 0, memGb: 0 } as JobSpec);
+        commands.push(wire.stopTask(task.task, task.attempt, 0));
+      }
+      return;
+    }
+    listed.add(live.task);
+    const { job, chunk } = found;
+    if (live.seenAt === null) live.seenAt = now;
+    if (task.state !== 'exited') {
+      if (task.state === 'running' && !live.running) {
+        live.running = true;
+        if (job.spec.image !== null) machine.images.add(job.spec.image);
+      }
+      if (live.stop !== null && !(task.state === 'saving' && live.stop.graceS > 0)) {
+        commands.push(wire.stopTask(live.task, live.attempt, live.stop.graceS));
+      }
+      return;
+    }
+    const completed = task.why === 'done' && job.spec.kind === 'array';
+    if (completed) {
+      job.failures = 0;
+      machine.failedJobs.clear();
+    } else if (task.why === 'error') {
+      this.#failed(job, machine, now);
+    } else if (task.why !== 'stopped') {
+      this.ctx.log.info({ task: live.task, machine: machine.id, why: task.why }, 'task refused');
+      if (task.why === 'no_such') job.notBefore = now + this.ctx.reportMs;
+    }
+    this.#release(job, chunk, live, completed);
+  }
+
+  #failed(job: Job, machine: Machine, now: number): void {
+    job.failures++;
+    machine.failedJobs.add(job.id);
+    // Each failure in a row doubles the pause, so a job that cannot succeed does not keep its
+    // team's share low and does not push the team's other jobs aside.
+    const pause = Math.min(this.ctx.reportMs * 2 ** Math.min(job.failures, 10), this.ctx.leaseMs * 10);
+    job.notBefore = now + (job.failures > 1 ? pause : 0);
+    // Different jobs fail on it one after another: it is the machine.
+    if (machine.failedJobs.size >= 2 && machine.retired === null) {
+      machine.retired = 'faulty';
+      this.ctx.log.warn({ machine: machine.id }, 'machine set aside: different jobs fail on it');
+    }
+  }
+
+  #onAbsent(machine: Machine, live: Live, commands: wire.Command[], now: number): void {
+    const found = this.#find(live.task);
+    if (found === null) {
+      machine.live.delete(live.task);
+      return;
+    }
+    const { job, chunk } = found;
+    if (chunk.saved < live.version) return;
+    const told = live.told;
+    if (live.version === 0 || live.seenAt !== null || (told !== null && told.session < machine.session)) {
+      // This worker has taken our token, no start is on its way, and it does not list the task:
+      // the task is gone, or never began.
+      this.#release(job, chunk, live, false);
+      return;
+    }
+    if (live.stop !== null || job.header.status !== 'open') {
+      // Every answer that carried the start is older than this report, so none can still arrive.
+      this.#release(job, chunk, live, false);
+      return;
+    }
+    if (!this.ctx.valid() || machine.noticeS !== null) {
+      if (machine.noticeS !== null) this.#release(job, chunk, live, false);
+      return;
+    }
+    if (told === null) {
+      this.ctx.log.debug({ task: live.task, machine: machine.id, waited: Math.round(now - live.since) }, 'start');
+    }
+    live.told = { session: machine.session, seq: machine.seq };
+    commands.push(wire.startTask(live.task, live.attempt));
+  }
+
+  /** The cloud will take the machine: what can save does so now, the rest runs as long as it may. */
+  #drain(machine: Machine): void {
+    for (const live of machine.live.values()) {
+      const spec = this.#specOf(live);
+      if (spec !== undefined && spec.checkpointS > 0 && live.running) {
+        this.#stopLive(live, Math.max(spec.saveS, 0.1), 'notice');
+      }
+    }
+  }
+
+  // ---- the regular work ------------------------------------------------------------------
+
+  /** A tick soon: changes that come close together are handled as one. */
+  #soon(inMs = this.ctx.reportMs / 40): void {
+    if (this.stopped) return;
+    const due = this.ctx.clock.now() + inMs;
+    if (this.#timerSet && this.#tickAt <= due) return;
+    this.#timerSet = true;
+    this.#tickAt = due;
+    this.ctx.clock.after(inMs, () => {
+      if (this.#timerSet && this.#tickAt === due) this.tell({ kind: 'tick' });
+    });
+  }
+
+  #tick(): void {
+    this.#soon(this.ctx.reportMs / 4);
+    if (!this.ctx.valid()) return;
+    this.#schedule();
+    this.#summarize();
+    this.#flush();
+  }
+
+  #othersUse(): Map<string, Amounts> {
+    const sum = new Map<string, Amounts>();
+    for (let part = 0; part < this.ctx.parts; part++) {
+      if (part === this.ctx.index) continue;
+      const value = this.ctx.mirror.rows.get(keys.summary(part))?.value;
+      if (!isSummary(value)) continue;
+      for (const [team, [cpus, gpus]] of Object.entries(value.use)) {
+        sum.set(team, add(sum.get(team) ?? ZERO, { cpus, gpus }));
+      }
+    }
+    return sum;
+  }
+
+  #usable(machine: Machine, now: number): boolean {
+    return (
+      machine.current &&
+      machine.retired === null &&
+      machine.noticeS === null &&
+      // One that has missed two reports may be gone.
+      now - machine.lastSeen < 3 * this.ctx.reportMs
+    );
+  }
+
+  #zones(job: Job): Map<string, number> {
+    const zones = new Map<string, number>();
+    for (const chunk of job.chunks.values()) {
+      for (const live of chunk.live.values()) {
+        const zone = this.machines.get(live.machine)?.zone ?? '';
+        zones.set(zone, (zones.get(zone) ?? 0) + 1);
+      }
+    }
+    return zones;
+  }
+
+  #schedule(): void {
+    const now = this.ctx.clock.now();
+    const types = this.ctx.types();
+    const tree = this.ctx.newTree();
+    for (const [team, use] of this.#othersUse()) tree.charge(team, use);
+    for (const [team, use] of this.#use) tree.charge(team, use);
+    this.#short.clear();
+    const queues = new Map<string, Job[]>();
+    for (const job of this.jobs.values()) {
+      if (job.header.status !== 'open' || job.notBefore > now) continue;
+      let pending = 0;
+      for (const chunk of job.chunks.values()) pending += chunk.pending;
+      if (pending === 0) continue;
+      const queue = queues.get(job.spec.team);
+      if (queue === undefined) queues.set(job.spec.team, [job]);
+      else queue.push(job);
+    }
+    const machines = [...this.machines.values()].filter((machine) => this.#usable(machine, now));
+    for (const queue of queues.values()) queue.sort(byUrgency);
+    const blocked: Job[] = [];
+    while (queues.size > 0) {
+      // The lowest share starts first.
+      let team = '';
+      let shares: number[] = [];
+      for (const name of queues.keys()) {
+        const own = tree.shares(name);
+        if (team === '' || compareShares(own, shares) < 0) {
+          team = name;
+          shares = own;
+        }
+      }
+      const queue = queues.get(team)!;
+      const job = queue[0]!;
+      if (this.#placeOne(job, machines, types, tree, now)) continue;
+      if (this.#hasPending(job)) blocked.push(job);
+      queue.shift();
+      if (queue.length === 0) queues.delete(team);
+    }
+    if (blocked.length > 0) this.#preempt(blocked, machines, types, tree, now);
+  }
+
+  #hasPending(job: Job): boolean {
+    for (const chunk of job.chunks.values()) if (chunk.nextPending() !== null) return true;
+    return false;
+  }
+
+  #fitsQuota(spec: JobSpec): boolean {
+    const use = add(this.#use.get(spec.team) ?? ZERO, spec);
+    const slice = this.#slices.get(spec.team) ?? ZERO;
+    if (within(use, slice)) return true;
+    const missing = minus(use, slice);
+    const known = this.#short.get(spec.team);
+    this.#short.set(spec.team, known === undefined ? missing : known);
+    return false;
+  }
+
+  #placeOne(
+    job: Job,
+    machines: Machine[],
+    types: ReadonlyMap<string, MachineType>,
+    tree: Tree,
+    now: number,
+  ): boolean {
+    const { spec } = job;
+    let target: { chunk: Chunk; index: number } | null = null;
+    for (const chunk of job.chunks.values()) {
+      const index = chunk.nextPending();
+      if (index !== null) {
+        target = { chunk, index };
+        break;
+      }
+    }
+    if (target === null || !this.#fitsQuota(spec)) return false;
+    // A job that keeps failing is tried with one task at a time.
+    if (job.failures > 1 && [...job.chunks.values()].some((chunk) => chunk.live.size > 0)) return false;
+    const zones = spec.oneZone || spec.spread ? this.#zones(job) : null;
+    let best: Machine | null = null;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const machine of machines) {
+      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
+      const room = machine.room(types.get(machine.type), this.#specOf);
+      if (!fitsRoom(room, spec)) continue;
+      if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
+      // The fullest machine that has the image: keeps others free, to be used whole or returned.
+      const cost = room.cpus + (spec.image === null || machine.images.has(spec.image) ? 0 : 1000);
+      if (cost < bestCost) {
+        best = machine;
+        bestCost = cost;
+      }
+    }
+    if (best === null) return false;
+    const live = target.chunk.place(target.index, best.id, now);
+    best.live.set(live.task, live);
+    if (spec.image !== null) best.images.add(spec.image);
+    best.touched();
+    this.#charge(spec, 1);
+    tree.charge(spec.team, spec);
+    return true;
+  }
+
+  /** Makes room for jobs that have a right to it, by the rules of KEP-1714. */
+  #preempt(
+    blocked: Job[],
+    machines: Machine[],
+    types: ReadonlyMap<string, MachineType>,
+    tree: Tree,
+    now: number,
+  ): void {
+    // Room that is about to be free, and what this pass has given away of it.
+    const rooms = new Map<string, Room>();
+    const victims: (Victim & { live: Live; machine: Machine; spec: JobSpec })[] = [];
+    for (const machine of machines) {
+      const room = { ...machine.room(types.get(machine.type), this.#specOf) };
+      for (const live of machine.live.values()) {
+        const spec = this.#specOf(live);
+        if (spec === undefined) continue;
+        if (live.stop !== null) give(room, spec, 1);
+        else if (live.seenAt !== null) {
+          victims.push({
+            id: live.task,
+            team: spec.team,
+            rank: spec.rank,
+            size: { cpus: spec.cpus, gpus: spec.gpus },
+            loss: spec.checkpointS > 0 ? 0 : now - live.since,
+            live,
+            machine,
+            spec,
+          });
+        }
+      }
+      rooms.set(machine.id, room);
+    }
+    for (const job of blocked) {
+      if (now - job.waitingSince < this.ctx.reportMs) continue;
+      const { spec } = job;
+      if (!this.#fitsQuota(spec)) continue;
+      const hosts = machines.filter((machine) => allowed(spec, machine));
+      let pending = 0;
+      for (const chunk of job.chunks.values()) pending += chunk.pending;
+      for (; pending > 0; pending--) {
+        const byId = new Map(victims.map((victim) => [victim.id, victim]));
+        const place = (stopped: ReadonlySet<string>): Machine | null => {
+          const freed = new Map<string, Room>();
+          for (const id of stopped) {
+            const victim = byId.get(id)!;
+            const room = freed.get(victim.machine.id) ?? { ...rooms.get(victim.machine.id)! };
+            give(room, victim.spec, 1);
+            freed.set(victim.machine.id, room);
+          }
+          for (const machine of hosts) {
+            if (fitsRoom(freed.get(machine.id) ?? rooms.get(machine.id)!, spec)) return machine;
+          }
+          return null;
+        };
+        const possible = victims.filter((victim) => victim.live.stop === null);
+        const picks = chooseVictims(
+          tree,
+          { team: spec.team, rank: spec.rank, size: spec },
+          possible,
+          (stopped) => place(stopped) !== null,
+          16,
+        );
+        const machine = place(new Set(picks.map(({ victim }) => victim.id)));
+        if (machine === null) break;
+        for (const { victim, reason } of picks) {
+          const chosen = byId.get(victim.id)!;
+          const grace = chosen.spec.checkpointS > 0 ? chosen.spec.saveS + this.ctx.reportMs / 1000 : 0;
+          this.#stopLive(chosen.live, grace, reason);
+          this.#preempted++;
+          tree.charge(victim.team, victim.size, -1);
+          give(rooms.get(chosen.machine.id)!, chosen.spec, 1);
+          this.ctx.log.info(
+            { task: victim.id, team: victim.team, for: job.id, asker: spec.team, reason },
+            'task preempted',
+          );
+        }
+        give(rooms.get(machine.id)!, spec, -1);
+        tree.charge(spec.team, spec);
+      }
+    }
+  }
+
+  // ---- store -----------------------------------------------------------------------------
+
+  #flush(): void {
+    const now = this.ctx.clock.now();
+    if (this.#saving || now < this.#retryAt) return;
+    const batch = this.#collect();
+    if (batch.then.length === 0) return;
+    if (!this.ctx.store.writes.take(batch.then.length)) {
+      this.#soon(this.ctx.reportMs / 10);
+      return;
+    }
+    this.#saving = true;
+    void this.#commit(batch);
+  }
+
+  #collect(): Batch {
+    const { index, token, store, mirror, limits } = this.ctx;
+    const batch: Batch = {
+      when: [{ key: keys.claim(index), version: token }],
+      then: [],
+      saves: [],
+      headers: [],
+      slices: [],
+    };
+    let bytes = 1024;
+    const room = (n: number, size: number): boolean =>
+      batch.then.length + n <= store.limits.ops &&
+      batch.when.length + n <= store.limits.conditions &&
+      bytes + size <= store.limits.txnBytes;
+    for (const [team, limit] of limits) {
+      if (!room(1, 256)) break;
+      const key = keys.quota(team);
+      const row = mirror.rows.get(key);
+      const record = isSliceRecord(row?.value) ? row.value : {};
+      const own = sliceOf(record, index);
+      const use = this.#use.get(team) ?? ZERO;
+      const short = this.#short.get(team);
+      let wanted = own;
+      if (short !== undefined) {
+        const free = freeOf(record, limit);
+        if ((short.cpus > 0 && free.cpus > 0) || (short.gpus > 0 && free.gpus > 0)) {
+          // As much as all that waits can use.
+          wanted = add(use, this.#waiting(team));
+          wanted = { cpus: Math.max(wanted.cpus, own.cpus), gpus: Math.max(wanted.gpus, own.gpus) };
+        }
+      } else if (this.#wantedElsewhere(team)) {
+        wanted = smaller(own, add(use, this.#waiting(team)));
+      }
+      const next = reslice(record, index, wanted, limit);
+      const after = sliceOf(next, index);
+      if (Math.abs(after.cpus - own.cpus) < 1e-6 && Math.abs(after.gpus - own.gpus) < 1e-6) {
+        this.#slices.set(team, own);
+        continue;
+      }
+      // Until the answer is known, only what is ours in either case counts.
+      this.#slices.set(team, smaller(own, after));
+      batch.when.push({ key, version: row?.version ?? 0 });
+      batch.then.push({ put: key, value: next });
+      batch.slices.push({ team, before: own, record: next });
+      bytes += 64 + JSON.stringify(next).length;
+    }
+    for (const job of this.jobs.values()) {
+      let header: Header | null = null;
+      const key = keys.job(job.id);
+      const version = mirror.rows.get(key)?.version ?? 0;
+      let conditioned = false;
+      for (const chunk of job.chunks.values()) {
+        const over = job.header.status !== 'open';
+        const deletes = chunk.complete || (over && chunk.live.size === 0);
+        if (!deletes && chunk.saved >= chunk.version) continue;
+        if (!room(3, store.limits.valueBytes * 2)) {
+          if (batch.then.length > 0) break;
+        }
+        const value = chunk.record();
+        bytes += 128 + JSON.stringify(value).length;
+        if (!conditioned) {
+          // A job cancelled meanwhile makes the whole transaction fail: nothing of it starts.
+          batch.when.push({ key, version });
+          conditioned = true;
+        }
+        const chunkKey = keys.chunk(index, job.id, chunk.index);
+        if (deletes) {
+          if (chunk.stamp > 0) {
+            batch.when.push({ key: chunkKey, version: chunk.stamp });
+            batch.then.push({ remove: chunkKey });
+          }
+          if (!over) {
+            header = header ?? { ...job.header };
+            header.owners = withOwner(header.owners, chunk.index, FINISHED);
+          }
+        } else {
+          batch.when.push({ key: chunkKey, version: chunk.stamp });
+          batch.then.push({ put: chunkKey, value });
+          if (!over && !job.header.started && chunk.index === 0) {
+            header = { ...(header ?? job.header), started: true };
+          }
+        }
+        batch.saves.push({ chunk, version: chunk.version, deletes });
+      }
+      if (header !== null) {
+        if (allFinished(header.owners)) header = finalHeader(header, 'done');
+        batch.then.push({ put: key, value: header });
+        batch.headers.push({ id: job.id, header });
+        bytes += 64 + JSON.stringify(header).length;
+      }
+    }
+    // Chunks of cancelled jobs that were never written leave nothing to commit.
+    if (batch.then.length === 0) {
+      for (const { chunk, deletes } of batch.saves) if (deletes) this.#dropChunk(chunk);
+    }
+    return batch;
+  }
+
+  #waiting(team: string): Amounts {
+    let sum = ZERO;
+    for (const job of this.jobs.values()) {
+      if (job.spec.team !== team || job.header.status !== 'open') continue;
+      let pending = 0;
+      for (const chunk of job.chunks.values()) pending += chunk.pending;
+      sum = add(sum, { cpus: pending * job.spec.cpus, gpus: pending * job.spec.gpus });
+    }
+    return sum;
+  }
+
+  #wantedElsewhere(team: string): boolean {
+    for (let part = 0; part < this.ctx.parts; part++) {
+      if (part === this.ctx.index) continue;
+      const value = this.ctx.mirror.rows.get(keys.summary(part))?.value;
+      if (isSummary(value) && value.short[team] !== undefined) return true;
+    }
+    return false;
+  }
+
+  async #commit(batch: Batch): Promise<void> {
+    const { store, clock, log } = this.ctx;
+    try {
+      const result = await store.transact(batch.when, batch.then);
+      if (result.ok) {
+        this.tell({ kind: 'committed', batch, revision: result.revision });
+        return;
+      }
+      if (result.failed.includes(keys.claim(this.ctx.index))) {
+        this.ctx.lost('claim changed');
+        return;
+      }
+    } catch (error) {
+      log.debug({ why: String(error) }, 'commit without answer');
+      if (error instanceof Refused) {
+        // Not executed. The same changes are collected again later.
+        await new Promise<void>((resolve) => {
+          clock.after(this.ctx.reportMs / 10, resolve);
+        });
+        this.tell({ kind: 'refused', batch, failed: [], missing: [] });
+        return;
+      }
+    }
+    // Some condition failed, or no answer came. What is there now is read again. The transaction
+    // may still be applied later; then the next one, which has the same conditions, fails.
+    while (!this.stopped) {
+      try {
+        const failed: Row[] = [];
+        const missing: string[] = [];
+        for (const { key } of batch.when.slice(1)) {
+          const row = await store.get(key);
+          if (row === null) missing.push(key);
+          else failed.push(row);
+        }
+        this.tell({ kind: 'refused', batch, failed, missing });
+        return;
+      } catch {
+        await new Promise<void>((resolve) => {
+          clock.after(this.ctx.reportMs / 8, resolve);
+        });
+      }
+    }
+  }
+
+  #onCommitted(batch: Batch, revision: number): void {
+    this.#saving = false;
+    for (const { chunk, version, deletes } of batch.saves) {
+      chunk.stamp = deletes ? 0 : revision;
+      chunk.saved = version;
+    }
+    for (const { team, record } of batch.slices) {
+      this.#slices.set(team, sliceOf(record, this.ctx.index));
+      this.#apply(keys.quota(team), record, revision);
+    }
+    for (const { id, header } of batch.headers) {
+      const job = this.jobs.get(id);
+      if (job !== undefined) job.header = header;
+      this.#apply(keys.job(id), header, revision);
+      if (header.status === 'done') this.ctx.log.info({ job: id }, 'job done');
+    }
+    for (const { chunk, deletes } of batch.saves) if (deletes) this.#dropChunk(chunk);
+    this.#soon(0);
+  }
+
+  #apply(key: string, value: unknown, version: number): void {
+    this.ctx.mirror.apply({ key, value, version, deleted: false });
+  }
+
+  #dropChunk(chunk: Chunk): void {
+    const job = this.jobs.get(chunk.job);
+    if (job === undefined || !job.chunks.delete(chunk.index)) return;
+    if (job.chunks.size === 0) this.jobs.delete(chunk.job);
+  }
+
+  #onRefused(batch: Batch, rows: Row[], missing: string[]): void {
+    this.#saving = false;
+    const versions = new Map<string, number>();
+    for (const row of rows) {
+      versions.set(row.key, row.version);
+      if (!row.key.startsWith('c/')) this.#apply(row.key, row.value, row.version);
+    }
+    for (const key of missing) versions.set(key, 0);
+    for (const { chunk } of batch.saves) {
+      const version = versions.get(keys.chunk(this.ctx.index, chunk.job, chunk.index));
+      // We alone write it, so whatever is there is ours; it is written again all the same.
+      if (version !== undefined) chunk.stamp = version;
+      const job = this.jobs.get(chunk.job);
+      const now = job?.header.owners[chunk.index];
+      if (job !== undefined && now !== partChar(this.ctx.index)) {
+        // An answer was lost: the header already shows this chunk as finished.
+        if (chunk.complete || chunk.live.size === 0) this.#dropChunk(chunk);
+      }
+    }
+    this.#soon(this.ctx.reportMs / 40);
+  }
+
+  // ---- telling the others ----------------------------------------------------------------
+
+  #summarize(): void {
+    const now = this.ctx.clock.now();
+    const waiting = this.#totalWaiting();
+    // Every 5 s, and earlier, though not more than once a second, when much has changed.
+    const urgent = Math.abs(waiting - this.#lastWaiting) > 0.25 * Math.max(4, this.#lastWaiting);
+    if (now - this.#summaryAt < (urgent ? 1000 : 5000)) return;
+    if (!this.ctx.store.writes.take(1, 2)) return;
+    this.#summaryAt = now;
+    this.#lastWaiting = waiting;
+    const { index, token, store } = this.ctx;
+    store
+      .transact(
+        [{ key: keys.claim(index), version: token }],
+        [{ put: keys.summary(index), value: this.summary() }],
+      )
+      .catch(() => undefined);
+  }
+
+  #totalWaiting(): number {
+    let sum = 0;
+    for (const job of this.jobs.values()) {
+      if (job.header.status !== 'open') continue;
+      for (const chunk of job.chunks.values()) sum += chunk.pending * job.spec.cpus;
+    }
+    return Math.round(sum);
+  }
+
+  summary(): Summary {
+    const now = this.ctx.clock.now();
+    const types = this.ctx.types();
+    const pairs = (map: Map<string, Amounts>): Record<string, [number, number]> =>
+      Object.fromEntries([...map].map(([team, a]) => [team, [a.cpus, a.gpus]]));
+    const needs = new Map<string, Need>();
+    for (const job of this.jobs.values()) {
+      if (job.header.status !== 'open' || job.failures > 1) continue;
+      let count = 0;
+      for (const chunk of job.chunks.values()) count += chunk.pending;
+      if (count === 0) continue;
+      const { spec } = job;
+      const { cpus, gpus, memGb, spot, types: allowedTypes, zone } = spec;
+      const need = { cpus, gpus, memGb, spot, types: allowedTypes, zone, count };
+      const key = JSON.stringify({ ...need, count: 0 });
+      const known = needs.get(key);
+      if (known === undefined) needs.set(key, need);
+      else known.count += count;
+    }
+    const idle: Record<string, number> = {};
+    const retired: string[] = [];
+    let free = 0;
+    for (const machine of this.machines.values()) {
+      const silent = now - machine.lastSeen > this.ctx.leaseMs * 1.1;
+      if (silent || (machine.retired !== null && machine.live.size === 0)) retired.push(machine.id);
+      else if (machine.live.size === 0) idle[machine.id] = Math.round((now - machine.idleSince) / 1000);
+      if (this.#usable(machine, now)) {
+        free += Math.max(0, machine.room(types.get(machine.type), this.#specOf).cpus);
+      }
+    }
+    return {
+      use: pairs(this.#use),
+      need: [...needs.values()].slice(0, 40),
+      short: pairs(this.#short),
+      free,
+      waiting: this.#totalWaiting(),
+      machines: [...this.machines.keys()],
+      retired,
+      idle,
+      token: this.ctx.token,
+    };
+  }
+}
+
+function give(room: Room, spec: JobSpec, sign: 1 | -1): void {
+  room.cpus += sign * spec.cpus;
+  room.gpus += sign * spec.gpus;
+  room.memGb += sign * spec.memGb;
+}
+
+/** Inside a team: priority, then the earlier deadline, then the earlier submission. */
+function byUrgency(a: Job, b: Job): number {
+  if (a.spec.rank !== b.spec.rank) return b.spec.rank - a.spec.rank;
+  const due = (job: Job): number =>
+    job.spec.deadlineS === null ? Number.POSITIVE_INFINITY : job.header.at + job.spec.deadlineS * 1000;
+  const x = due(a);
+  const y = due(b);
+  return x === y ? a.header.at - b.header.at : x - y;
+}
--- /dev/null
+++ b/src/part/summary.ts
@@ -0,0 +1,33 @@
+/** What a part's owner tells the others: written to the store, and sent when it is urgent. */
+export interface Summary {
+  /** Use by team: CPUs and GPUs of tasks placed and not proved gone. */
+  use: Record<string, [number, number]>;
+  /** Waiting tasks by shape, those that their team's limit allows. */
+  need: Need[];
+  /** Teams whose slice is too small here, with what is missing. */
+  short: Record<string, [number, number]>;
+  /** Free CPUs on machines that take tasks. */
+  free: number;
+  /** CPUs of tasks that wait, over all teams. */
+  waiting: number;
+  machines: string[];
+  /** Machines no longer used here, and silent ones: to be returned. */
+  retired: string[];
+  /** Machines without tasks, with seconds idle. */
+  idle: Record<string, number>;
+  token: number;
+}
+
+export interface Need {
+  cpus: number;
+  gpus: number;
+  memGb: number;
+  spot: boolean;
+  types: string[] | null;
+  zone: string | null;
+  count: number;
+}
+
+export function isSummary(value: unknown): value is Summary {
+  return typeof value === 'object' && value !== null && 'use' in value && 'need' in value;
+}
--- /dev/null
+++ b/src/state/store.ts
@@ -0,0 +1,154 @@
+import type { Clock } from '../clock.js';
+import { type Answer, type HttpClient, NoAnswer } from '../http/client.js';
+import * as wire from '../wire/store.js';
+import { Budget } from './budget.js';
+
+export type { Change, Condition, Event, Row } from '../wire/store.js';
+
+/** Certainly not executed: an outage, or over a rate limit. */
+export class Refused extends Error {}
+/** The service answered with something this program does not understand. */
+export class Garbled extends Error {}
+/** Our lease is no longer there. */
+export class NoLease extends Error {}
+
+export type TxnResult =
+  | { ok: true; revision: number }
+  | { ok: false; failed: string[]; revision: number };
+
+export interface StoreLimits {
+  /** This controller's part of the service's limits. */
+  rps: number;
+  writeRps: number;
+  ops: number;
+  conditions: number;
+  valueBytes: number;
+  txnBytes: number;
+}
+
+/** What the rest of the program needs of the state service; tests have one in memory. */
+export interface Store {
+  readonly limits: StoreLimits;
+  readonly writes: Budget;
+  get(key: string): Promise<wire.Row | null>;
+  list(prefix: string): Promise<{ rows: wire.Row[]; revision: number }>;
+  transact(when: wire.Condition[], then: wire.Change[]): Promise<TxnResult>;
+  openLease(ttlMs: number): Promise<number | string>;
+  renewLease(lease: number | string, timeoutMs: number): Promise<void>;
+  /** `null` when `after` is too old and the keys must be read again. */
+  watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+  ): Promise<{ revision: number; events: wire.Event[] } | null>;
+}
+
+export class StoreClient implements Store {
+  readonly writes: Budget;
+  readonly #requests: Budget;
+
+  constructor(
+    readonly http: HttpClient,
+    readonly limits: StoreLimits,
+    readonly clock: Clock,
+    readonly timeoutMs: number,
+  ) {
+    // The service allows one second's worth at once; a tenth is left for clocks that differ.
+    this.writes = new Budget(limits.writeRps * 0.9, limits.writeRps * 0.9, clock);
+    this.#requests = new Budget(limits.rps * 0.9, limits.rps * 0.9, clock);
+  }
+
+  async #call(
+    method: string,
+    path: string,
+    body?: unknown,
+    timeoutMs = this.timeoutMs,
+    urgent = false,
+  ): Promise<Answer> {
+    if (urgent) this.#requests.force(1);
+    else if (!this.#requests.take(1, this.limits.rps / 10)) throw new Refused('own rate limit');
+    const answer = await this.http.call(method, path, body, timeoutMs);
+    if (answer.status === 503 || answer.status === 429) throw new Refused(String(answer.status));
+    return answer;
+  }
+
+  async get(key: string): Promise<wire.Row | null> {
+    const answer = await this.#call('GET', wire.paths.get(key));
+    if (answer.status === 404) return null;
+    const row = answer.status === 200 ? wire.parseRow(answer.body) : null;
+    if (row === null) throw new Garbled(`get ${key}: ${answer.status}`);
+    return row;
+  }
+
+  async list(prefix: string): Promise<{ rows: wire.Row[]; revision: number }> {
+    const rows: wire.Row[] = [];
+    let after: string | null = null;
+    let revision = Number.POSITIVE_INFINITY;
+    for (;;) {
+      const answer: Answer = await this.#call('GET', wire.paths.list(prefix, after, 1000));
+      const page = answer.status === 200 ? wire.parsePage(answer.body) : null;
+      if (page === null) throw new Garbled(`list ${prefix}: ${answer.status}`);
+      rows.push(...page.rows);
+      // Pages are read at different revisions: a watch must start from the oldest.
+      revision = Math.min(revision, page.revision);
+      const last = page.rows.at(-1);
+      if (!page.more || last === undefined) return { rows, revision };
+      after = last.key;
+    }
+  }
+
+  async transact(when: wire.Condition[], then: wire.Change[]): Promise<TxnResult> {
+    this.writes.force(then.length);
+    const answer = await this.#call('POST', wire.paths.transaction, wire.transactionBody(when, then));
+    const revision = wire.parseRevision(answer.body);
+    if (answer.status === 200 && revision !== null) return { ok: true, revision };
+    if (answer.status === 409 && revision !== null) {
+      return { ok: false, failed: wire.parseFailed(answer.body), revision };
+    }
+    if (answer.status === 400) {
+      if (then.some((change) => 'put' in change && change.lease !== undefined)) {
+        throw new NoLease('no such lease');
+      }
+      throw new Refused(`transaction refused: ${JSON.stringify(answer.body)}`);
+    }
+    // Some other status: nothing says that it was not executed.
+    throw new NoAnswer(`transaction: ${answer.status}`);
+  }
+
+  async openLease(ttlMs: number): Promise<number | string> {
+    const answer = await this.#call(
+      'POST',
+      wire.paths.leases,
+      wire.leaseBody(Math.round(ttlMs)),
+      this.timeoutMs,
+      true,
+    );
+    const lease = answer.status === 200 ? wire.parseLease(answer.body) : null;
+    if (lease === null) throw new Garbled(`lease: ${answer.status}`);
+    return lease;
+  }
+
+  async renewLease(lease: number | string, timeoutMs: number): Promise<void> {
+    const answer = await this.#call('POST', wire.paths.renew(lease), undefined, timeoutMs, true);
+    if (answer.status === 404) throw new NoLease('lease ended');
+    if (answer.status !== 200) throw new Garbled(`renew: ${answer.status}`);
+  }
+
+  async watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+  ): Promise<{ revision: number; events: wire.Event[] } | null> {
+    const answer = await this.#call(
+      'GET',
+      wire.paths.watch(prefix, after, waitMs),
+      undefined,
+      waitMs + this.timeoutMs,
+      true,
+    );
+    if (answer.status === 410) return null;
+    const seen = answer.status === 200 ? wire.parseEvents(answer.body) : null;
+    if (seen === null) throw new Garbled(`watch: ${answer.status}`);
+    return seen;
+  }
+}
--- /dev/null
+++ b/src/wire/jobs.ts
@@ -0,0 +1,114 @@
+import { z } from 'zod';
+import { isMap } from './cbor.js';
+
+/** Lower rank is stopped first. */
+export const PRIORITIES = ['best_effort', 'normal', 'urgent', 'prod'] as const;
+export type Priority = (typeof PRIORITIES)[number];
+export const MAX_TASKS = 100_000;
+
+/** What a user asks for, in the terms of this code. Also what the store keeps. */
+export interface JobSpec {
+  class: string;
+  team: string;
+  kind: 'array' | 'service';
+  /** Index into PRIORITIES. */
+  rank: number;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memGb: number;
+  image: string | null;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+const JOB_ID = /^wk-[0-9A-Za-z][0-9A-Za-z_.-]{0,99}$/;
+
+export function isJobId(text: string): boolean {
+  return JOB_ID.test(text);
+}
+
+const amount = z.number().finite().nonnegative();
+const count = z
+  .union([z.number().int(), z.bigint()])
+  .transform((value) => Number(value))
+  .pipe(z.number().int().min(1).max(MAX_TASKS));
+const name = z.string().min(1).max(200);
+
+const submission = z.object({
+  uid: z.string().regex(JOB_ID, 'not a job id'),
+  eidos: name,
+  owner: name,
+  shape: z.enum(['batch', 'service']),
+  urgency: z.enum(PRIORITIES),
+  pieces: count,
+  cores: amount,
+  accelerators: amount,
+  memGb: amount,
+  bundle: name.nullish(),
+  sizeGb: amount.nullish(),
+  builds: z.array(name).nullish(),
+  berth: name.nullish(),
+  together: z.boolean(),
+  scatter: z.boolean(),
+  borrowed: z.boolean(),
+  expectS: amount,
+  stashEveryS: amount,
+  stashS: amount,
+  dueS: amount.nullish(),
+});
+
+export type Parsed<T> = { ok: true; value: T } | { ok: false; reason: string };
+
+export function parseSubmission(body: unknown): Parsed<{ id: string; spec: JobSpec }> {
+  if (!isMap(body)) return { ok: false, reason: 'the body is not a map' };
+  const result = submission.safeParse(body);
+  if (!result.success) {
+    const issue = result.error.issues[0];
+    return { ok: false, reason: `${issue?.path.join('.') ?? 'body'}: ${issue?.message}` };
+  }
+  const job = result.data;
+  return {
+    ok: true,
+    value: {
+      id: job.uid,
+      spec: {
+        class: job.eidos,
+        team: job.owner,
+        kind: job.shape === 'batch' ? 'array' : 'service',
+        rank: PRIORITIES.indexOf(job.urgency),
+        tasks: job.pieces,
+        cpus: job.cores,
+        gpus: job.accelerators,
+        memGb: job.memGb,
+        image: job.bundle ?? null,
+        types: job.builds ?? null,
+        zone: job.berth ?? null,
+        oneZone: job.together,
+        spread: job.scatter,
+        spot: job.borrowed,
+        estimateS: job.expectS,
+        checkpointS: job.stashEveryS,
+        saveS: job.stashS,
+        deadlineS: job.dueS ?? null,
+      },
+    },
+  };
+}
+
+export type JobStatus = 'pending' | 'running' | 'done' | 'cancelled';
+
+export function statusBody(
+  id: string,
+  status: JobStatus,
+  counts?: { done: number; running: number },
+): object {
+  return counts === undefined ? { uid: id, status } : { uid: id, status, ...counts };
+}
--- /dev/null
+++ b/src/workers/machine.ts
@@ -0,0 +1,99 @@
+import type { Live } from '../jobs/chunk.js';
+import type { MachineType } from '../wire/cloud.js';
+import type { JobSpec } from '../wire/jobs.js';
+
+export interface Room {
+  cpus: number;
+  gpus: number;
+  memGb: number;
+}
+
+/** What the part's owner knows of one machine, under its own token. */
+export class Machine {
+  type = '';
+  zone = '';
+  spot = false;
+  address = '';
+  session = 0;
+  seq = -1;
+  /**
+   * Whether its worker has reported with our token. Before that, an answer of an earlier owner
+   * may still reach it, so its list proves nothing.
+   */
+  current = false;
+  lastSeen: number;
+  noticeS: number | null = null;
+  idleSince: number;
+  /** Not to be used any more; the leader is asked to return it. */
+  retired: string | null = null;
+  /** Jobs that failed here since the last success. */
+  readonly failedJobs = new Set<string>();
+  readonly live = new Map<string, Live>();
+  /** Tasks that it lists and that are not ours to count: they take room until they are gone. */
+  strays: JobSpec[] = [];
+  readonly images = new Set<string>();
+  #room: Room | null = null;
+
+  constructor(
+    readonly id: string,
+    now: number,
+  ) {
+    this.lastSeen = now;
+    this.idleSince = now;
+  }
+
+  touched(): void {
+    this.#room = null;
+  }
+
+  room(type: MachineType | undefined, specOf: (live: Live) => JobSpec | undefined): Room {
+    if (type === undefined) return { cpus: 0, gpus: 0, memGb: 0 };
+    if (this.#room !== null) return this.#room;
+    const room: Room = { cpus: type.cpus, gpus: type.gpus, memGb: type.memGb };
+    const take = (spec: JobSpec | undefined): void => {
+      // A task of an unknown job has an unknown size: the machine counts as full.
+      room.cpus -= spec?.cpus ?? type.cpus;
+      room.gpus -= spec?.gpus ?? type.gpus;
+      room.memGb -= spec?.memGb ?? type.memGb;
+    };
+    for (const live of this.live.values()) take(specOf(live));
+    for (const spec of this.strays) take(spec);
+    this.#room = room;
+    return room;
+  }
+}
+
+export const fitsRoom = (room: Room, spec: JobSpec): boolean =>
+  spec.cpus <= room.cpus + 1e-6 &&
+  spec.gpus <= room.gpus + 1e-6 &&
+  spec.memGb <= room.memGb + 1e-6;
+
+/** Whether a machine of this kind may run the job at all. */
+export const allowed = (
+  spec: JobSpec,
+  machine: { type: string; zone: string; spot: boolean },
+): boolean =>
+  (spec.types === null || spec.types.includes(machine.type)) &&
+  (spec.zone === null || spec.zone === machine.zone) &&
+  (spec.spot || !machine.spot);
+
+export const typeFits = (spec: JobSpec, type: MachineType): boolean =>
+  (spec.types === null || spec.types.includes(type.name)) &&
+  (spec.zone === null || type.zones.length === 0 || type.zones.includes(spec.zone)) &&
+  spec.cpus <= type.cpus &&
+  spec.gpus <= type.gpus &&
+  spec.memGb <= type.memGb;
+
+/**
+ * Whether placing one more task of a job in `zone` keeps the job's zone rules, given the zones of
+ * its other tasks that are placed and not proved gone.
+ */
+export function zoneAllowed(spec: JobSpec, zone: string, perZone: ReadonlyMap<string, number>): boolean {
+  if (spec.oneZone) {
+    for (const [other, count] of perZone) if (other !== zone && count > 0) return false;
+  }
+  if (spec.spread) {
+    return (perZone.get(zone) ?? 0) + 1 <= Math.ceil(spec.tasks / 2);
+  }
+  return true;
+}
