--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -1,13 +1,13 @@
-import { type Clock, sleep } from '../clock.js';
-import type { HttpClient } from '../http/client.js';
-import type { Log } from '../log.js';
-import { isSummary, type Need, type Summary } from '../part/summary.js';
-import { Budget } from '../state/budget.js';
-import { keys } from '../state/keys.js';
-import type { Mirror } from '../state/mirror.js';
-import type { Store } from '../state/store.js';
-import * as wire from '../wire/cloud.js';
-import { type Offer, plan } from './plan.js';
+import { type Clock, sleep } from "../clock.js";
+import type { HttpClient } from "../http/client.js";
+import type { Log } from "../log.js";
+import { isSummary, type Need, type Summary } from "../part/summary.js";
+import { Budget } from "../state/budget.js";
+import { keys } from "../state/keys.js";
+import type { Mirror } from "../state/mirror.js";
+import type { Store } from "../state/store.js";
+import * as wire from "../wire/cloud.js";
+import { type Offer, plan } from "./plan.js";
 
 export interface FleetContext {
   token: number;
@@ -60,20 +60,24 @@
     while (!this.#stopped) {
       try {
         if (this.ctx.valid()) await this.#step();
-        if (!this.#reachable) this.ctx.log.info('cloud answers again');
+        if (!this.#reachable) this.ctx.log.info("cloud answers again");
         this.#reachable = true;
       } catch (error) {
-        if (this.#reachable) this.ctx.log.warn({ why: String(error) }, 'cloud does not answer');
+        if (this.#reachable) this.ctx.log.warn({ why: String(error) }, "cloud does not answer");
         this.#reachable = false;
       }
       await sleep(this.ctx.clock, 500);
     }
   }
 
-  async #call(method: string, path: string, body?: object): Promise<{ status: number; body: unknown }> {
+  async #call(
+    method: string,
+    path: string,
+    body?: object,
+  ): Promise<{ status: number; body: unknown }> {
     while (!this.#budget.take(1)) await sleep(this.ctx.clock, 1000 / this.ctx.rps);
     const answer = await this.ctx.http.call(method, path, body, 5000);
-    if (answer.status === 429) throw new Error('429');
+    if (answer.status === 429) throw new Error("429");
     return answer;
   }
 
@@ -97,14 +101,21 @@
   }
 
   async #readTypes(): Promise<void> {
-    const answer = await this.#call('GET', wire.paths.types);
+    const answer = await this.#call("GET", wire.paths.types);
     const types = answer.status === 200 ? wire.parseTypes(answer.body) : null;
     if (types === null) throw new Error(`machine types: ${answer.status}`);
     this.#types = new Map(types.map((type) => [type.name, type]));
     this.#typesAt = this.ctx.clock.now();
     // The others need sizes and zones, which do not change; prices are the leader's business.
     const shown = types.map(({ name, cpus, gpus, memGb, bootS, zones }) => ({
-      name, cpus, gpus, memGb, bootS, zones, price: 0, spotPrice: 0,
+      name,
+      cpus,
+      gpus,
+      memGb,
+      bootS,
+      zones,
+      price: 0,
+      spotPrice: 0,
     }));
     const row = this.ctx.mirror.rows.get(keys.types);
     if (JSON.stringify(row?.value) === JSON.stringify(shown)) return;
@@ -116,9 +127,9 @@
 
   async #readList(): Promise<void> {
     const found: wire.ListedMachine[] = [];
-    let after = '';
+    let after = "";
     for (;;) {
-      const answer = await this.#call('GET', wire.paths.list(after));
+      const answer = await this.#call("GET", wire.paths.list(after));
       const page = answer.status === 200 ? wire.parseMachines(answer.body) : null;
       if (page === null) throw new Error(`machine list: ${answer.status}`);
       found.push(...page.machines);
@@ -149,24 +160,24 @@
       for (const id of retired) gone.add(id);
       if (waiting > 0) continue;
       for (const [id, seconds] of Object.entries(idle)) {
-        const type = this.#types.get(this.#listed.get(id)?.type ?? '');
+        const type = this.#types.get(this.#listed.get(id)?.type ?? "");
         // One that is returned now costs its boot time again when it is needed.
         if (seconds > Math.max(45, type?.bootS ?? 0)) gone.add(id);
       }
     }
     for (const machine of this.#listed.values()) {
       const type = this.#types.get(machine.type);
-      if (machine.state === 'failed') gone.add(machine.id);
+      if (machine.state === "failed") gone.add(machine.id);
       const since = machine.ageS;
-      if (machine.state === 'booting' && type !== undefined && since > 5 * type.bootS + 30) {
+      if (machine.state === "booting" && type !== undefined && since > 5 * type.bootS + 30) {
         gone.add(machine.id);
       }
     }
     const names = [...gone].filter((id) => !this.#returned.has(id)).slice(0, wire.MAX_RETURN);
     if (names.length === 0 || now - this.#startedAt < this.ctx.leaseMs / 4) return;
-    const answer = await this.#call('POST', wire.paths.giveBack, wire.returnBody(names));
+    const answer = await this.#call("POST", wire.paths.giveBack, wire.returnBody(names));
     if (answer.status !== 200) throw new Error(`return: ${answer.status}`);
-    this.ctx.log.info({ machines: names }, 'machines returned');
+    this.ctx.log.info({ machines: names }, "machines returned");
     for (const id of names) {
       this.#returned.add(id);
       this.#listed.delete(id);
@@ -177,7 +188,10 @@
     for (let i = 0; i < names.length; i += ops) {
       const slice = names.slice(i, i + ops);
       await this.#until(() =>
-        this.ctx.store.transact([], slice.map((id) => ({ put: keys.gone(id), value: 1 }))),
+        this.ctx.store.transact(
+          [],
+          slice.map((id) => ({ put: keys.gone(id), value: 1 })),
+        ),
       );
     }
   }
@@ -229,15 +243,21 @@
     }
     const open = this.#open;
     const answer = await this.#call(
-      'POST',
+      "POST",
       wire.paths.rent,
-      wire.rentBody(open.request, open.offer.type.name, open.offer.zone, open.offer.spot, open.count),
+      wire.rentBody(
+        open.request,
+        open.offer.type.name,
+        open.offer.zone,
+        open.offer.spot,
+        open.count,
+      ),
     );
     const key = `${open.offer.type.name}/${open.offer.zone}/${open.offer.spot}`;
     if (answer.status === 503) {
       this.#open = null;
-      const trouble = (answer.body as { error?: string } | undefined)?.error !== 'no capacity';
-      if (trouble) throw new Error('cloud refuses');
+      const trouble = (answer.body as { error?: string } | undefined)?.error !== "no capacity";
+      if (trouble) throw new Error("cloud refuses");
       this.#refused.set(key, this.ctx.clock.now() + 15_000);
       return;
     }
@@ -247,11 +267,25 @@
     const now = this.ctx.clock.now();
     for (const id of machines) {
       this.#rented.set(id, {
-        id, type: open.offer.type.name, zone: open.offer.zone, spot: open.offer.spot,
-        state: 'booting', ageS: 0, at: now,
+        id,
+        type: open.offer.type.name,
+        zone: open.offer.zone,
+        spot: open.offer.spot,
+        state: "booting",
+        ageS: 0,
+        at: now,
       });
     }
     if (machines.length < open.count) this.#refused.set(key, now + 15_000);
-    this.ctx.log.info({ request: open.request, type: open.offer.type.name, zone: open.offer.zone, spot: open.offer.spot, machines }, 'machines rented');
+    this.ctx.log.info(
+      {
+        request: open.request,
+        type: open.offer.type.name,
+        zone: open.offer.zone,
+        spot: open.offer.spot,
+        machines,
+      },
+      "machines rented",
+    );
   }
 }
--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -1,5 +1,5 @@
-import type { Need } from '../part/summary.js';
-import type { ListedMachine, MachineType } from '../wire/cloud.js';
+import type { Need } from "../part/summary.js";
+import type { ListedMachine, MachineType } from "../wire/cloud.js";
 
 export interface Offer {
   type: MachineType;
@@ -67,15 +67,21 @@
   // Large tasks first: small ones fill what is left.
   for (const need of [...needs].sort((a, b) => b.cpus - a.cpus || b.memGb - a.memGb)) {
     let left = need.count;
-    for (const bin of bins) while (left > 0 && fits(bin, need)) {
-      take(bin, need);
-      left--;
-    }
+    for (const bin of bins)
+      while (left > 0 && fits(bin, need)) {
+        take(bin, need);
+        left--;
+      }
     if (left === 0) continue;
     let best: Offer | null = null;
     let bestPrice = Number.POSITIVE_INFINITY;
     for (const offer of offers) {
-      const probe: Bin = { ...offer.type, type: offer.type.name, zone: offer.zone, spot: offer.spot };
+      const probe: Bin = {
+        ...offer.type,
+        type: offer.type.name,
+        zone: offer.zone,
+        spot: offer.spot,
+      };
       if (!fits(probe, need)) continue;
       const price = offer.price / Math.min(tasksPer(offer.type, need), left);
       if (price < bestPrice) {
--- a/src/fair/preempt.ts
+++ b/src/fair/preempt.ts
@@ -1,4 +1,4 @@
-import { type Amounts, compareShares, EPSILON, type Tree } from './share.js';
+import { type Amounts, compareShares, EPSILON, type Tree } from "./share.js";
 
 /** Something that may be stopped: one task of an array, or all that must stop together. */
 export interface Victim {
@@ -15,9 +15,15 @@
   team: string;
   rank: number;
   size: Amounts;
+  /**
+   * Evening out shares (S2) may destroy this much work of one victim, in the unit of its `loss`.
+   * KEP-1714 asks for a minimum run time and a delay against churn ("Risks and Mitigations");
+   * this is both in one. Guarantees (S1) and priorities do not wait for it.
+   */
+  patience: number;
 }
 
-export type Reason = 'priority' | 'reclaim' | 'fair' | 'greedy';
+export type Reason = "priority" | "reclaim" | "fair" | "greedy";
 
 export interface Pick {
   victim: Victim;
@@ -29,7 +35,7 @@
  * `greedy` S2-b; `priority` is what PROTOCOL allows inside a team.
  */
 export function mayStop(tree: Tree, asker: Asker, victim: Victim): Reason | null {
-  if (victim.team === asker.team) return victim.rank < asker.rank ? 'priority' : null;
+  if (victim.team === asker.team) return victim.rank < asker.rank ? "priority" : null;
   const groups = tree.siblings(asker.team, victim.team);
   if (groups === null) return null;
   // Someone who uses only what is guaranteed, anywhere on the way up, is not to blame.
@@ -37,14 +43,15 @@
     if (!tree.borrows(group)) return null;
     if (group === groups.y) break;
   }
-  if (!tree.borrows(groups.x, asker.size)) return 'reclaim';
+  if (!tree.borrows(groups.x, asker.size)) return "reclaim";
+  if (victim.loss > asker.patience) return null;
   const mine = tree.share(groups.x, asker.size);
   const without = tree.share(groups.y, {
     cpus: -victim.size.cpus,
     gpus: -victim.size.gpus,
   });
-  if (without >= mine - EPSILON && victim.rank <= asker.rank) return 'fair';
-  if (tree.share(groups.y) > mine + EPSILON && victim.rank <= asker.rank) return 'greedy';
+  if (without >= mine - EPSILON && victim.rank <= asker.rank) return "fair";
+  if (tree.share(groups.y) > mine + EPSILON && victim.rank <= asker.rank) return "greedy";
   return null;
 }
 
@@ -102,7 +109,7 @@
   best: Pick,
   bestShares: number[],
 ): boolean {
-  if ((reason === 'greedy') !== (best.reason === 'greedy')) return best.reason === 'greedy';
+  if ((reason === "greedy") !== (best.reason === "greedy")) return best.reason === "greedy";
   const byShare = compareShares(shares, bestShares);
   if (byShare !== 0) return byShare > 0;
   const other = best.victim;
--- a/src/fair/share.ts
+++ b/src/fair/share.ts
@@ -27,7 +27,7 @@
   lending?: Amounts;
 }
 
-export const ROOT = '';
+export const ROOT = "";
 
 /** The tree of teams with their use. Use is counted at every level from a team to the root. */
 export class Tree {
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -1,6 +1,6 @@
-import { Agent, request } from 'node:http';
-import { type Clock, systemClock } from '../clock.js';
-import { decode, encode } from '../wire/cbor.js';
+import { Agent, request } from "node:http";
+import { type Clock, systemClock } from "../clock.js";
+import { decode, encode } from "../wire/cbor.js";
 
 export interface Answer {
   status: number;
@@ -23,7 +23,7 @@
     maxSockets: number,
     readonly clock: Clock = systemClock,
   ) {
-    const colon = address.lastIndexOf(':');
+    const colon = address.lastIndexOf(":");
     this.#host = address.slice(0, colon);
     this.#port = Number(address.slice(colon + 1));
     this.#agent = new Agent({ keepAlive: true, maxSockets, maxFreeSockets: maxSockets });
@@ -41,35 +41,38 @@
         headers:
           payload === undefined
             ? {}
-            : { 'content-type': 'application/cbor', 'content-length': payload.length },
+            : { "content-type": "application/cbor", "content-length": payload.length },
       });
-      const deadline = this.clock.after(timeoutMs, () => fail('no answer in time'));
+      const deadline = this.clock.after(timeoutMs, () => fail("no answer in time"));
       const fail = (why: string): void => {
         deadline.cancel();
         req.destroy();
         reject(new NoAnswer(`${method} ${path}: ${why}`));
       };
-      req.on('error', (error) => fail(error.message));
-      req.on('response', (res) => {
+      req.on("error", (error) => fail(error.message));
+      req.on("response", (res) => {
         const chunks: Buffer[] = [];
         let size = 0;
-        res.on('data', (chunk: Buffer) => {
+        res.on("data", (chunk: Buffer) => {
           size += chunk.length;
-          if (size > MAX_ANSWER) fail('answer too large');
+          if (size > MAX_ANSWER) fail("answer too large");
           else chunks.push(chunk);
         });
-        res.on('error', (error) => fail(error.message));
-        res.on('aborted', () => fail('cut off'));
-        res.on('end', () => {
+        res.on("error", (error) => fail(error.message));
+        res.on("aborted", () => fail("cut off"));
+        res.on("end", () => {
           deadline.cancel();
           const status = res.statusCode ?? 0;
           if (size === 0) return resolve({ status, body: undefined });
           try {
-            resolve({ status, body: decode(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)) });
+            resolve({
+              status,
+              body: decode(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)),
+            });
           } catch {
             // An error page that is not CBOR still says something through its status.
             if (status >= 400) resolve({ status, body: undefined });
-            else fail('answer is not CBOR');
+            else fail("answer is not CBOR");
           }
         });
       });
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,6 +1,6 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Log } from '../log.js';
-import { decode, encode } from '../wire/cbor.js';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Log } from "../log.js";
+import { decode, encode } from "../wire/cbor.js";
 
 export interface Reply {
   status: number;
@@ -9,7 +9,7 @@
 }
 
 export interface Route {
-  method: 'GET' | 'POST';
+  method: "GET" | "POST";
   /** Returns the reply at once or later; a rejected promise is answered with 503. */
   run(input: { body: unknown; params: string[] }): Reply | Promise<Reply>;
 }
@@ -24,57 +24,66 @@
 export const retryLater = (status: 429 | 503, reason: string, seconds = 1): Reply => ({
   status,
   body: { error: reason },
-  headers: { 'retry-after': String(seconds) },
+  headers: { "retry-after": String(seconds) },
 });
 
 function send(res: ServerResponse, reply: Reply): void {
   if (res.headersSent || res.destroyed) return;
   const payload = reply.body === undefined ? Buffer.alloc(0) : encode(reply.body);
   res.writeHead(reply.status, {
-    'content-type': 'application/cbor',
-    'content-length': payload.length,
+    "content-type": "application/cbor",
+    "content-length": payload.length,
     ...reply.headers,
   });
   res.end(payload);
 }
 
 function handle(router: Router, log: Log, req: IncomingMessage, res: ServerResponse): void {
-  const url = req.url ?? '/';
-  const mark = url.indexOf('?');
+  const url = req.url ?? "/";
+  const mark = url.indexOf("?");
   const found = router.find(mark < 0 ? url : url.slice(0, mark));
   const refuse = (status: number, reason: string): void => {
     // What is left of the body is not read, so the connection cannot be used again.
-    send(res, { status, body: { error: reason }, headers: { connection: 'close' } });
+    send(res, { status, body: { error: reason }, headers: { connection: "close" } });
     req.resume();
   };
-  const declared = Number(req.headers['content-length'] ?? 0);
-  if (declared > BODY_LIMIT) return refuse(413, 'body too large');
-  if (found === null) return refuse(404, 'unknown path');
+  const declared = Number(req.headers["content-length"] ?? 0);
+  if (declared > BODY_LIMIT) {
+    refuse(413, "body too large");
+    return;
+  }
+  if (found === null) {
+    refuse(404, "unknown path");
+    return;
+  }
   const route = found.routes.find((candidate) => candidate.method === req.method);
-  if (route === undefined) return refuse(405, 'method not allowed');
+  if (route === undefined) {
+    refuse(405, "method not allowed");
+    return;
+  }
 
   const chunks: Buffer[] = [];
   let size = 0;
-  req.on('data', (chunk: Buffer) => {
+  req.on("data", (chunk: Buffer) => {
     size += chunk.length;
     if (size <= BODY_LIMIT) chunks.push(chunk);
-    else if (!res.headersSent) refuse(413, 'body too large');
+    else if (!res.headersSent) refuse(413, "body too large");
   });
-  req.on('error', () => res.destroy());
-  req.on('end', () => {
+  req.on("error", () => res.destroy());
+  req.on("end", () => {
     if (res.headersSent) return;
     let body: unknown;
-    if (route.method === 'POST' && size > 0) {
+    if (route.method === "POST" && size > 0) {
       try {
         body = decode(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
       } catch {
-        send(res, { status: 400, body: { error: 'the body is not CBOR' } });
+        send(res, { status: 400, body: { error: "the body is not CBOR" } });
         return;
       }
     }
     const failed = (error: unknown): void => {
-      log.error({ err: error, path: url }, 'request failed');
-      send(res, retryLater(503, 'internal error'));
+      log.error({ err: error, path: url }, "request failed");
+      send(res, retryLater(503, "internal error"));
     };
     try {
       const reply = route.run({ body, params: found.params });
@@ -96,12 +105,12 @@
     handle(router, log, req, res),
   );
   server.maxConnections = maxConnections;
-  const colon = address.lastIndexOf(':');
+  const colon = address.lastIndexOf(":");
   return new Promise((resolve, reject) => {
-    server.once('error', reject);
+    server.once("error", reject);
     server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () => {
-      server.off('error', reject);
-      server.on('error', (error) => log.error({ err: error }, 'listener'));
+      server.off("error", reject);
+      server.on("error", (error) => log.error({ err: error }, "listener"));
       resolve(server);
     });
   });
--- a/src/jobs/chunk.ts
+++ b/src/jobs/chunk.ts
@@ -39,6 +39,8 @@
   saving = false;
   /** Tasks before this one are all placed or done. */
   cursor = 0;
+  /** The part that it is being handed to; nothing of it is placed meanwhile. */
+  movingTo: number | null = null;
 
   constructor(
     readonly job: string,
@@ -101,7 +103,7 @@
   }
 
   record(): ChunkRecord {
-    const l: ChunkRecord['l'] = {};
+    const l: ChunkRecord["l"] = {};
     for (const live of this.live.values()) l[live.index] = [live.attempt, live.machine];
     return { a: this.attempts, d: ranges(this.done), l };
   }
@@ -109,8 +111,8 @@
   load(record: ChunkRecord, stamp: number, now: number): void {
     this.stamp = stamp;
     this.attempts = record.a;
-    for (const range of record.d === '' ? [] : record.d.split(',')) {
-      const [from, to] = range.split('-').map(Number) as [number, number?];
+    for (const range of record.d === "" ? [] : record.d.split(",")) {
+      const [from, to] = range.split("-").map(Number) as [number, number?];
       for (let i = from; i <= (to ?? from) && i < this.size; i++) {
         if (this.done[i] === 0) this.doneCount++;
         this.done[i] = 1;
@@ -141,9 +143,11 @@
     while (i + 1 < flags.length && flags[i + 1] !== 0) i++;
     out.push(from === i ? `${from}` : `${from}-${i}`);
   }
-  return out.join(',');
+  return out.join(",");
 }
 
 export function isChunkRecord(value: unknown): value is ChunkRecord {
-  return typeof value === 'object' && value !== null && 'a' in value && 'd' in value && 'l' in value;
+  return (
+    typeof value === "object" && value !== null && "a" in value && "d" in value && "l" in value
+  );
 }
--- a/src/jobs/header.ts
+++ b/src/jobs/header.ts
@@ -1,4 +1,4 @@
-import type { JobSpec, JobStatus } from '../wire/jobs.js';
+import type { JobSpec, JobStatus } from "../wire/jobs.js";
 
 /**
  * One per job, in the store. `owners` has one character a chunk of tasks: the part that runs it
@@ -6,7 +6,7 @@
  * on condition of the version it has read; so the first of `done` and `cancelled` wins.
  */
 export interface Header {
-  status: 'open' | 'done' | 'cancelled';
+  status: "open" | "done" | "cancelled";
   /** Absent once the job is over. */
   spec?: JobSpec;
   owners: string;
@@ -19,7 +19,7 @@
   tasks: number;
 }
 
-export const FINISHED = 'x';
+export const FINISHED = "x";
 export const partChar = (part: number): string => part.toString(36);
 
 export function withOwner(owners: string, chunk: number, owner: string): string {
@@ -28,21 +28,19 @@
 
 export const allFinished = (owners: string): boolean => /^x*$/.test(owners);
 
-export function finalHeader(header: Header, status: 'done' | 'cancelled'): Header {
+export function finalHeader(header: Header, status: "done" | "cancelled"): Header {
   // A cancelled job keeps its owners: they still have tasks to stop and records to delete.
   const { spec: _spec, ...rest } = header;
-  return status === 'done'
-    ? { ...rest, status, owners: '' }
-    : { ...header, status };
+  return status === "done" ? { ...rest, status, owners: "" } : { ...header, status };
 }
 
 export function shownStatus(header: Header): JobStatus {
-  if (header.status !== 'open') return header.status;
-  return header.started ? 'running' : 'pending';
+  if (header.status !== "open") return header.status;
+  return header.started ? "running" : "pending";
 }
 
 export function isHeader(value: unknown): value is Header {
-  return typeof value === 'object' && value !== null && 'status' in value && 'owners' in value;
+  return typeof value === "object" && value !== null && "status" in value && "owners" in value;
 }
 
 /** How many tasks one chunk holds: few chunks, each of which fits a value of the store. */
--- a/src/log.ts
+++ b/src/log.ts
@@ -1,11 +1,11 @@
-import { pino } from 'pino';
+import { pino } from "pino";
 
-export type Log = Pick<pino.Logger, 'debug' | 'info' | 'warn' | 'error'>;
+export type Log = Pick<pino.Logger, "debug" | "info" | "warn" | "error">;
 
 /** Logs go to standard error, written synchronously: the process may be killed at any moment. */
 export function openLog(node: string): Log {
-  const asked = process.env.LOG_LEVEL ?? 'info';
-  const level = asked in pino.levels.values || asked === 'silent' ? asked : 'info';
+  const asked = process.env.LOG_LEVEL ?? "info";
+  const level = asked in pino.levels.values || asked === "silent" ? asked : "info";
   return pino(
     { level, base: { node }, timestamp: pino.stdTimeFunctions.epochTime },
     pino.destination({ fd: 2, sync: true }),
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,9 +1,9 @@
-import { type Clock, DRIFT, sleep } from '../clock.js';
-import type { Log } from '../log.js';
-import { keys } from '../state/keys.js';
-import type { Mirror } from '../state/mirror.js';
-import { NoLease, type Store } from '../state/store.js';
-import type { Layout } from './layout.js';
+import { type Clock, DRIFT, sleep } from "../clock.js";
+import type { Log } from "../log.js";
+import { keys } from "../state/keys.js";
+import type { Mirror } from "../state/mirror.js";
+import { NoLease, type Store } from "../state/store.js";
+import type { Layout } from "./layout.js";
 
 interface Claim {
   node: string;
@@ -19,7 +19,7 @@
 }
 
 const isClaim = (value: unknown): value is Claim =>
-  typeof value === 'object' && value !== null && 'node' in value && 'run' in value;
+  typeof value === "object" && value !== null && "node" in value && "run" in value;
 
 /**
  * Holds this controller's lease at the state service and, attached to it, its claims on parts and
@@ -55,7 +55,7 @@
     // before the workers give up their tasks.
     this.ttlMs = (leaseS * 1000) / 4;
     this.#startedAt = clock.now();
-    mirror.on('w/p/', (event) => this.#claimChanged(event.key, event.version, event.value));
+    mirror.on("w/p/", (event) => this.#claimChanged(event.key, event.version, event.value));
     mirror.on(keys.leader, (event) => this.#leaderChanged(event.version, event.value));
   }
 
@@ -79,15 +79,33 @@
   }
 
   /** Gives a part up, so that a controller that reaches its machines can have it. */
-  async release(part: number, why: string, shyMs = 0): Promise<void> {
+  async release(part: number, why: string): Promise<void> {
     const token = this.owned.get(part);
     if (token === undefined) return;
-    if (shyMs > 0) this.#shyUntil = this.clock.now() + shyMs;
     this.#drop(part, why);
     const key = keys.claim(part);
     await this.store.transact([{ key, version: token }], [{ remove: key }]);
   }
 
+  /**
+   * This controller reaches the state service, but workers or users do not reach it: others
+   * should own the parts for a while. Does nothing when there is no one else.
+   */
+  async stepBack(parts: number[], forMs: number, why: string): Promise<void> {
+    const others = this.layout.members.some(
+      ({ name }) => name !== this.node && this.#serving(name),
+    );
+    if (!others) return;
+    this.#shyUntil = this.clock.now() + forMs;
+    const token = this.leaderToken;
+    if (token !== null) {
+      this.leaderToken = null;
+      this.handlers.deposed();
+      await this.store.transact([{ key: keys.leader, version: token }], [{ remove: keys.leader }]);
+    }
+    for (const part of parts) await this.release(part, why);
+  }
+
   #drop(part: number, why: string): void {
     if (!this.owned.delete(part)) return;
     this.handlers.lost(part, why);
@@ -106,7 +124,7 @@
       try {
         await step();
       } catch (error) {
-        this.log.debug({ why: String(error) }, 'membership step failed');
+        this.log.debug({ why: String(error) }, "membership step failed");
       }
       await sleep(this.clock, everyMs);
     }
@@ -124,8 +142,8 @@
         if (error instanceof NoLease) {
           this.#lease = null;
           this.#validUntil = Number.NEGATIVE_INFINITY;
-          this.log.warn({}, 'lease lost');
-          this.#dropAll('lease lost');
+          this.log.warn({}, "lease lost");
+          this.#dropAll("lease lost");
         }
         throw error;
       }
@@ -229,16 +247,16 @@
   }
 
   #claimChanged(key: string, version: number, value: unknown): void {
-    const part = Number(key.slice('w/p/'.length));
+    const part = Number(key.slice("w/p/".length));
     const token = this.owned.get(part);
     if (this.#mine(value)) {
       if (token === version) return;
-      if (token !== undefined) this.#drop(part, 'claimed anew');
+      if (token !== undefined) this.#drop(part, "claimed anew");
       // Our own claim whose answer was lost; or simply the watch being faster than the answer.
       this.owned.set(part, version);
       this.handlers.gained(part, version);
     } else if (token !== undefined && version > token) {
-      this.#drop(part, 'claim ended');
+      this.#drop(part, "claim ended");
     }
   }
 
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,24 +1,24 @@
-import { randomUUID } from 'node:crypto';
-import type { Server } from 'node:http';
-import { type Clock, sleep, systemClock } from './clock.js';
-import { Fleet } from './cloud/fleet.js';
-import { type Amounts, flatTree, within } from './fair/share.js';
-import { HttpClient } from './http/client.js';
-import { type Reply, type Route, type Router, retryLater, startServer } from './http/server.js';
-import { chunkSizeFor, type Header, isHeader, partChar, shownStatus } from './jobs/header.js';
-import type { Log } from './log.js';
-import { Layout } from './membership/layout.js';
-import { Membership } from './membership/membership.js';
-import { Part } from './part/part.js';
-import { isSummary } from './part/summary.js';
-import { clusterOf, type Settings } from './settings/settings.js';
-import { keys } from './state/keys.js';
-import { Mirror } from './state/mirror.js';
-import { Refused, type Store, StoreClient } from './state/store.js';
-import type { MachineType } from './wire/cloud.js';
-import { isJobId, type JobSpec, parseSubmission, statusBody } from './wire/jobs.js';
-import { parseReport, redirectAnswer } from './wire/workers.js';
-import { typeFits } from './workers/machine.js';
+import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
+import { type Clock, sleep, systemClock } from "./clock.js";
+import { Fleet } from "./cloud/fleet.js";
+import { type Amounts, flatTree, within } from "./fair/share.js";
+import { HttpClient } from "./http/client.js";
+import { type Reply, type Route, type Router, retryLater, startServer } from "./http/server.js";
+import { chunkSizeFor, type Header, isHeader, partChar, shownStatus } from "./jobs/header.js";
+import type { Log } from "./log.js";
+import { Layout } from "./membership/layout.js";
+import { Membership } from "./membership/membership.js";
+import { Part } from "./part/part.js";
+import { isSummary } from "./part/summary.js";
+import { clusterOf, type Settings } from "./settings/settings.js";
+import { keys } from "./state/keys.js";
+import { Mirror } from "./state/mirror.js";
+import { Refused, type Store, StoreClient } from "./state/store.js";
+import type { MachineType } from "./wire/cloud.js";
+import { isJobId, type JobSpec, parseSubmission, statusBody } from "./wire/jobs.js";
+import { parseReport, redirectAnswer } from "./wire/workers.js";
+import { typeFits } from "./workers/machine.js";
 
 export interface NodeOptions {
   settings: Settings;
@@ -40,6 +40,10 @@
   readonly #limits: Map<string, Amounts>;
   #types = new Map<string, MachineType>();
   #fleet: Fleet | null = null;
+  /** When anyone outside last asked us anything: the load balancer does so every second. */
+  #askedAt: number | null = null;
+  #watchedAt = 0;
+  #stopped = false;
   #server: Server | null = null;
 
   constructor({ settings, log, clock = systemClock }: NodeOptions) {
@@ -86,14 +90,14 @@
       },
       params.workers.lease_s,
     );
-    this.#mirror.on('w/j/', ({ key, value }) => {
+    this.#mirror.on("w/j/", ({ key, value }) => {
       if (!isHeader(value)) return;
       for (const owner of this.#parts.values()) {
-        owner.tell({ kind: 'header', id: key.slice(4), header: value });
+        owner.tell({ kind: "header", id: key.slice(4), header: value });
       }
     });
-    this.#mirror.on('w/g/', ({ key }) => {
-      for (const owner of this.#parts.values()) owner.tell({ kind: 'gone', machine: key.slice(4) });
+    this.#mirror.on("w/g/", ({ key }) => {
+      for (const owner of this.#parts.values()) owner.tell({ kind: "gone", machine: key.slice(4) });
     });
     this.#mirror.on(keys.types, ({ value }) => {
       if (!Array.isArray(value)) return;
@@ -110,25 +114,47 @@
     );
     void this.#mirror.run();
     this.#membership.start();
-    this.#log.info({ listen: this.#settings.listen }, 'started');
+    this.#watchReach();
+    this.#log.info({ listen: this.#settings.listen }, "started");
   }
 
   stop(): void {
+    this.#stopped = true;
     this.#mirror.stop();
     this.#membership.stop();
     this.#fleet?.stop();
-    for (const part of this.#parts.values()) part.tell({ kind: 'stop' });
+    for (const part of this.#parts.values()) part.tell({ kind: "stop" });
     this.#server?.close();
     this.#server?.closeAllConnections();
     this.#cloud.close();
   }
 
+  /** Steps back while those outside do not reach us, though the state service does. */
+  #watchReach(): void {
+    const leaseMs = this.#settings.params.workers.lease_s * 1000;
+    const everyMs = leaseMs / 24;
+    const now = this.#clock.now();
+    // When this process itself was held up, nobody else is to blame for the silence.
+    const late = now - this.#watchedAt > everyMs * 3;
+    this.#watchedAt = now;
+    if (!late && this.#membership.valid()) {
+      const deaf = this.#askedAt !== null && now - this.#askedAt > leaseMs / 3;
+      const parts = [...this.#parts.keys()].filter((i) => deaf || this.#parts.get(i)!.cutOff());
+      if (parts.length > 0 || (deaf && this.#fleet !== null)) {
+        this.#membership
+          .stepBack(parts, deaf ? leaseMs / 2 : leaseMs * 4, "machines do not reach us")
+          .catch(() => undefined);
+      }
+    }
+    if (!this.#stopped) this.#clock.after(everyMs, () => this.#watchReach());
+  }
+
   // ---- parts and leadership --------------------------------------------------------------
 
   async #gained(index: number, token: number): Promise<void> {
     const { params } = this.#settings;
     const held = (): boolean => this.#membership.owned.get(index) === token;
-    this.#log.info({ part: index, token }, 'part claimed');
+    this.#log.info({ part: index, token }, "part claimed");
     while (held()) {
       try {
         const { rows } = await this.#store.list(keys.chunks(index));
@@ -146,6 +172,7 @@
             valid: () => this.#membership.valid(),
             types: () => this.#types,
             newTree: () => flatTree(params.teams),
+            partsOf: (zone) => this.#layout.partsOf(zone),
             limits: this.#limits,
             reportMs: params.workers.report_s * 1000,
             leaseMs: params.workers.lease_s * 1000,
@@ -162,22 +189,22 @@
         this.#parts.set(index, part);
         return;
       } catch (error) {
-        this.#log.debug({ part: index, why: String(error) }, 'part not loaded yet');
+        this.#log.debug({ part: index, why: String(error) }, "part not loaded yet");
         await sleep(this.#clock, (params.workers.report_s * 1000) / 8);
       }
     }
   }
 
   #lost(index: number, why: string): void {
-    this.#log.info({ part: index, why }, 'part given up');
-    this.#parts.get(index)?.tell({ kind: 'stop' });
+    this.#log.info({ part: index, why }, "part given up");
+    this.#parts.get(index)?.tell({ kind: "stop" });
     this.#parts.delete(index);
   }
 
   #lead(token: number): void {
     this.#depose();
     const { params } = this.#settings;
-    this.#log.info({ token }, 'leading');
+    this.#log.info({ token }, "leading");
     this.#fleet = new Fleet({
       token,
       parts: this.#layout.parts,
@@ -203,14 +230,15 @@
 
   #router(): Router {
     const fixed = new Map<string, Route[]>([
-      ['/healthz', [{ method: 'GET', run: () => this.#health() }]],
-      ['/checkin', [{ method: 'POST', run: ({ body }) => this.#report(body) }]],
-      ['/api/jobs', [{ method: 'POST', run: ({ body }) => this.#submit(body) }]],
+      ["/healthz", [{ method: "GET", run: () => this.#health() }]],
+      ["/checkin", [{ method: "POST", run: ({ body }) => this.#report(body) }]],
+      ["/api/jobs", [{ method: "POST", run: ({ body }) => this.#submit(body) }]],
     ]);
-    const show: Route[] = [{ method: 'GET', run: ({ params }) => this.#show(params[0]!) }];
-    const cancel: Route[] = [{ method: 'POST', run: ({ params }) => this.#cancel(params[0]!) }];
+    const show: Route[] = [{ method: "GET", run: ({ params }) => this.#show(params[0]!) }];
+    const cancel: Route[] = [{ method: "POST", run: ({ params }) => this.#cancel(params[0]!) }];
     return {
-      find(path) {
+      find: (path) => {
+        this.#askedAt = this.#clock.now();
         const routes = fixed.get(path);
         if (routes !== undefined) return { routes, params: [] };
         const match = /^\/api\/jobs\/([^/]+)(\/withdraw)?$/.exec(path);
@@ -227,7 +255,7 @@
   #health(): Reply {
     const fresh = this.#contactAge() < (this.#settings.params.workers.lease_s * 1000) / 2;
     if (this.#types.size > 0 && fresh) return { status: 200, body: { ok: true } };
-    return retryLater(503, 'not ready');
+    return retryLater(503, "not ready");
   }
 
   #report(body: unknown): Reply | Promise<Reply> {
@@ -239,7 +267,7 @@
     if (part === undefined) {
       const owner = this.#membership.ownerOf(index);
       if (owner === null || owner === this.#settings.node_name || !this.#mirror.ready) {
-        return retryLater(503, 'part has no owner yet');
+        return retryLater(503, "part has no owner yet");
       }
       return { status: 421, body: redirectAnswer(owner) };
     }
@@ -247,10 +275,10 @@
     // if the workers' leases end before that: so we stop answering early enough.
     const { lease_s, cancel_s } = this.#settings.params.workers;
     if (this.#contactAge() > (cancel_s - lease_s * 1.15) * 1000) {
-      return retryLater(503, 'out of touch');
+      return retryLater(503, "out of touch");
     }
     return new Promise((resolve) => {
-      part.tell({ kind: 'report', report, reply: resolve });
+      part.tell({ kind: "report", report, reply: resolve });
     });
   }
 
@@ -262,7 +290,7 @@
   /** The newest state of a job. Final states are safe to remember; others are read anew. */
   async #current(id: string): Promise<{ header: Header; version: number } | null> {
     const known = this.#mirror.rows.get(keys.job(id));
-    if (known !== undefined && isHeader(known.value) && known.value.status !== 'open') {
+    if (known !== undefined && isHeader(known.value) && known.value.status !== "open") {
       return { header: known.value, version: known.version };
     }
     const row = await this.#store.get(keys.job(id));
@@ -273,8 +301,8 @@
   }
 
   #unavailable(error: unknown): Reply {
-    this.#log.debug({ why: String(error) }, 'store not available');
-    return retryLater(503, 'state service not available', error instanceof Refused ? 2 : 1);
+    this.#log.debug({ why: String(error) }, "store not available");
+    return retryLater(503, "state service not available", error instanceof Refused ? 2 : 1);
   }
 
   async #submit(body: unknown): Promise<Reply> {
@@ -283,28 +311,33 @@
     const { id, spec } = parsed.value;
     try {
       if (this.#known(id) === null) {
-        if (this.#types.size === 0) return retryLater(503, 'machine types not known yet');
+        if (this.#types.size === 0) return retryLater(503, "machine types not known yet");
         const never = this.#neverRuns(spec);
         if (never !== null) {
           // Only a job that was never accepted may be refused.
           const known = await this.#current(id);
           if (known === null) return { status: 422, body: { error: never } };
         } else {
-          if (!this.#store.writes.take(0, 1)) return retryLater(429, 'too many changes');
+          if (!this.#store.writes.take(0, 1)) return retryLater(429, "too many changes");
           const header = this.#newHeader(spec);
           const result = await this.#store.transact(
             [{ key: keys.job(id), version: 0 }],
             [{ put: keys.job(id), value: header }],
           );
           if (result.ok) {
-            this.#log.debug({ job: id, owners: header.owners }, 'job accepted');
-            this.#mirror.apply({ key: keys.job(id), value: header, version: result.revision, deleted: false });
-            return { status: 201, body: statusBody(id, 'pending') };
+            this.#log.debug({ job: id, owners: header.owners }, "job accepted");
+            this.#mirror.apply({
+              key: keys.job(id),
+              value: header,
+              version: result.revision,
+              deleted: false,
+            });
+            return { status: 201, body: statusBody(id, "pending") };
           }
         }
       }
       const known = await this.#current(id);
-      if (known === null) return retryLater(503, 'try again');
+      if (known === null) return retryLater(503, "try again");
       return { status: 200, body: statusBody(id, shownStatus(known.header)) };
     } catch (error) {
       return this.#unavailable(error);
@@ -313,11 +346,11 @@
 
   #neverRuns(spec: JobSpec): string | null {
     const limit = this.#limits.get(spec.team);
-    if (limit === undefined) return 'unknown team';
+    if (limit === undefined) return "unknown team";
     if (![...this.#types.values()].some((type) => typeFits(spec, type))) {
-      return 'a task fits no allowed machine type';
+      return "a task fits no allowed machine type";
     }
-    const times = spec.kind === 'service' ? spec.tasks : 1;
+    const times = spec.kind === "service" ? spec.tasks : 1;
     if (!within({ cpus: spec.cpus * times, gpus: spec.gpus * times }, limit)) {
       return "more than the team's limit";
     }
@@ -333,11 +366,12 @@
       const value = this.#mirror.rows.get(keys.summary(part))?.value;
       return isSummary(value) ? value.free - value.waiting : 0;
     });
-    let owners = '';
+    let owners = "";
+    const eligible = spec.zone === null ? [...room.keys()] : this.#layout.partsOf(spec.zone);
     let pinned: number | null = null;
     for (let i = 0; i < count; i++) {
-      let best = 0;
-      for (let part = 1; part < parts; part++) if (room[part]! > room[best]!) best = part;
+      let best = eligible[0]!;
+      for (const part of eligible) if (room[part]! > room[best]!) best = part;
       // Zone rules look at all tasks of a job at once, so one part has all of them.
       if (spec.oneZone || spec.spread) {
         pinned ??= best;
@@ -347,7 +381,7 @@
       owners += partChar(best);
     }
     return {
-      status: 'open',
+      status: "open",
       spec,
       owners,
       chunkSize,
@@ -359,11 +393,14 @@
   }
 
   async #show(id: string): Promise<Reply> {
-    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
     try {
       const known = await this.#current(id);
-      if (known === null) return { status: 404, body: { error: 'no such job' } };
-      return { status: 200, body: statusBody(id, shownStatus(known.header), this.#counts(id, known.header)) };
+      if (known === null) return { status: 404, body: { error: "no such job" } };
+      return {
+        status: 200,
+        body: statusBody(id, shownStatus(known.header), this.#counts(id, known.header)),
+      };
     } catch (error) {
       return this.#unavailable(error);
     }
@@ -371,16 +408,16 @@
 
   /** For display: what the finished chunks and our own parts say. */
   #counts(id: string, header: Header): { done: number; running: number } {
-    if (header.status === 'done') return { done: header.tasks, running: 0 };
+    if (header.status === "done") return { done: header.tasks, running: 0 };
     let done = 0;
     let running = 0;
     for (let i = 0; i < header.owners.length; i++) {
-      if (header.owners[i] !== 'x') continue;
+      if (header.owners[i] !== "x") continue;
       done += Math.min(header.chunkSize, header.tasks - i * header.chunkSize);
     }
     for (const part of this.#parts.values()) {
       for (const chunk of part.jobs.get(id)?.chunks.values() ?? []) {
-        if (header.owners[chunk.index] !== 'x') done += chunk.doneCount;
+        if (header.owners[chunk.index] !== "x") done += chunk.doneCount;
         for (const live of chunk.live.values()) if (live.running) running++;
       }
     }
@@ -388,27 +425,32 @@
   }
 
   async #cancel(id: string): Promise<Reply> {
-    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
     try {
       for (let attempt = 0; attempt < 4; attempt++) {
         const known = await this.#current(id);
-        if (known === null) return { status: 404, body: { error: 'no such job' } };
+        if (known === null) return { status: 404, body: { error: "no such job" } };
         const { header, version } = known;
-        if (header.status !== 'open') {
+        if (header.status !== "open") {
           return { status: 200, body: statusBody(id, header.status) };
         }
-        const next: Header = { ...header, status: 'cancelled' };
+        const next: Header = { ...header, status: "cancelled" };
         const result = await this.#store.transact(
           [{ key: keys.job(id), version }],
           [{ put: keys.job(id), value: next }],
         );
         if (result.ok) {
-          this.#mirror.apply({ key: keys.job(id), value: next, version: result.revision, deleted: false });
-          this.#log.info({ job: id }, 'job cancelled');
-          return { status: 200, body: statusBody(id, 'cancelled') };
+          this.#mirror.apply({
+            key: keys.job(id),
+            value: next,
+            version: result.revision,
+            deleted: false,
+          });
+          this.#log.info({ job: id }, "job cancelled");
+          return { status: 200, body: statusBody(id, "cancelled") };
         }
       }
-      return retryLater(503, 'try again');
+      return retryLater(503, "try again");
     } catch (error) {
       return this.#unavailable(error);
     }
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -1,9 +1,9 @@
-import { Actor } from '../actor.js';
-import type { Clock } from '../clock.js';
-import { chooseVictims, type Victim } from '../fair/preempt.js';
-import { type Amounts, add, compareShares, minus, type Tree, within } from '../fair/share.js';
-import type { Reply } from '../http/server.js';
-import { Chunk, isChunkRecord, type Live } from '../jobs/chunk.js';
+import { Actor } from "../actor.js";
+import type { Clock } from "../clock.js";
+import { chooseVictims, type Victim } from "../fair/preempt.js";
+import { type Amounts, add, compareShares, minus, type Tree, within } from "../fair/share.js";
+import type { Reply } from "../http/server.js";
+import { Chunk, isChunkRecord, type Live } from "../jobs/chunk.js";
 import {
   allFinished,
   FINISHED,
@@ -12,8 +12,8 @@
   isHeader,
   partChar,
   withOwner,
-} from '../jobs/header.js';
-import type { Log } from '../log.js';
+} from "../jobs/header.js";
+import type { Log } from "../log.js";
 import {
   freeOf,
   isSliceRecord,
@@ -21,15 +21,15 @@
   type SliceRecord,
   sliceOf,
   smaller,
-} from '../quota/slices.js';
-import { keys } from '../state/keys.js';
-import type { Mirror } from '../state/mirror.js';
-import { type Change, type Condition, Refused, type Row, type Store } from '../state/store.js';
-import type { MachineType } from '../wire/cloud.js';
-import type { JobSpec } from '../wire/jobs.js';
-import * as wire from '../wire/workers.js';
-import { allowed, fitsRoom, Machine, type Room, zoneAllowed } from '../workers/machine.js';
-import { isSummary, type Need, type Summary } from './summary.js';
+} from "../quota/slices.js";
+import { keys } from "../state/keys.js";
+import type { Mirror } from "../state/mirror.js";
+import { type Change, type Condition, Refused, type Row, type Store } from "../state/store.js";
+import type { MachineType } from "../wire/cloud.js";
+import type { JobSpec } from "../wire/jobs.js";
+import * as wire from "../wire/workers.js";
+import { allowed, fitsRoom, Machine, type Room, zoneAllowed } from "../workers/machine.js";
+import { isSummary, type Need, type Summary } from "./summary.js";
 
 export interface PartContext {
   index: number;
@@ -43,6 +43,8 @@
   valid(): boolean;
   types(): ReadonlyMap<string, MachineType>;
   newTree(): Tree;
+  /** Parts whose machines may be in a zone. */
+  partsOf(zone: string): number[];
   limits: ReadonlyMap<string, Amounts>;
   reportMs: number;
   leaseMs: number;
@@ -52,14 +54,14 @@
 }
 
 export type PartMessage =
-  | { kind: 'report'; report: wire.Report; reply(answer: Reply): void }
-  | { kind: 'header'; id: string; header: Header }
-  | { kind: 'gone'; machine: string }
-  | { kind: 'moved'; job: string; chunk: number; row: Row | null }
-  | { kind: 'tick' }
-  | { kind: 'committed'; batch: Batch; revision: number }
-  | { kind: 'refused'; batch: Batch; failed: Row[]; missing: string[] }
-  | { kind: 'stop' };
+  | { kind: "report"; report: wire.Report; reply(answer: Reply): void }
+  | { kind: "header"; id: string; header: Header }
+  | { kind: "gone"; machine: string }
+  | { kind: "moved"; job: string; chunk: number; row: Row | null }
+  | { kind: "tick" }
+  | { kind: "committed"; batch: Batch; revision: number }
+  | { kind: "refused"; batch: Batch; failed: Row[]; missing: string[] }
+  | { kind: "stop" };
 
 interface Job {
   id: string;
@@ -75,8 +77,8 @@
 /** One transaction on its way. */
 interface Batch {
   when: Condition[];
-  then: Change[];
-  saves: { chunk: Chunk; version: number; deletes: boolean }[];
+  changes: Change[];
+  saves: { chunk: Chunk; version: number; deletes: boolean; moves: boolean }[];
   headers: { id: string; header: Header }[];
   slices: { team: string; before: Amounts; record: SliceRecord }[];
 }
@@ -94,6 +96,8 @@
   /** Committed slices; what a lowering in flight gives up is no longer counted. */
   readonly #slices = new Map<string, Amounts>();
   readonly #use = new Map<string, Amounts>();
+  /** CPUs of chunks given to other parts since their last summary. */
+  readonly #sent = new Map<number, { version: number; cpus: number }>();
   readonly #short = new Map<string, Amounts>();
   #saving = false;
   #retryAt = 0;
@@ -101,7 +105,6 @@
   #timerSet = false;
   #summaryAt = 0;
   #lastWaiting = 0;
-  #preempted = 0;
 
   constructor(
     readonly ctx: PartContext,
@@ -111,9 +114,9 @@
     const now = ctx.clock.now();
     const byKey = new Map(records.map((row) => [row.key, row]));
     for (const [key, row] of ctx.mirror.rows) {
-      if (key.startsWith('w/j/') && isHeader(row.value)) {
+      if (key.startsWith("w/j/") && isHeader(row.value)) {
         this.#takeIn(key.slice(4), row.value, byKey);
-      } else if (key.startsWith('w/g/')) {
+      } else if (key.startsWith("w/g/")) {
         // Machines returned before our time: nothing of theirs is left.
         this.#machineGone(key.slice(4));
       }
@@ -123,38 +126,44 @@
       this.#slices.set(team, sliceOf(isSliceRecord(row?.value) ? row.value : {}, ctx.index));
     }
     ctx.log.info(
-      { part: ctx.index, token: ctx.token, jobs: this.jobs.size, machines: this.machines.size, now: Math.round(now) },
-      'part taken over',
+      {
+        part: ctx.index,
+        token: ctx.token,
+        jobs: this.jobs.size,
+        machines: this.machines.size,
+        now: Math.round(now),
+      },
+      "part taken over",
     );
     this.#soon(0);
   }
 
   protected receive(message: PartMessage): void {
     switch (message.kind) {
-      case 'report':
+      case "report":
         message.reply(this.#onReport(message.report));
         break;
-      case 'header':
+      case "header":
         this.#onHeader(message.id, message.header);
         break;
-      case 'gone':
+      case "gone":
         this.#machineGone(message.machine);
         this.#soon();
         break;
-      case 'moved':
+      case "moved":
         this.#onMoved(message.job, message.chunk, message.row);
         break;
-      case 'tick':
+      case "tick":
         this.#timerSet = false;
         this.#tick();
         break;
-      case 'committed':
+      case "committed":
         this.#onCommitted(message.batch, message.revision);
         break;
-      case 'refused':
+      case "refused":
         this.#onRefused(message.batch, message.failed, message.missing);
         break;
-      case 'stop':
+      case "stop":
         this.halt();
         break;
     }
@@ -169,7 +178,7 @@
       if (header.spec !== undefined) job.spec = header.spec;
     }
     this.#takeIn(id, header, null);
-    if (header.status === 'cancelled' && job !== undefined) this.#cancel(job);
+    if (header.status === "cancelled" && job !== undefined) this.#cancel(job);
     this.#soon(0);
   }
 
@@ -203,14 +212,14 @@
         void this.#fetchMoved(id, i, key);
       }
     }
-    if (header.status === 'cancelled') this.#cancel(job);
+    if (header.status === "cancelled") this.#cancel(job);
   }
 
   async #fetchMoved(job: string, chunk: number, key: string): Promise<void> {
     while (!this.stopped) {
       try {
         const row = await this.ctx.store.get(key);
-        this.tell({ kind: 'moved', job, chunk, row });
+        this.tell({ kind: "moved", job, chunk, row });
         return;
       } catch {
         await new Promise<void>((resolve) => {
@@ -226,7 +235,7 @@
     if (job === undefined || job.chunks.has(chunk)) return;
     if (job.header.owners[chunk] !== partChar(this.ctx.index)) return;
     this.#adopt(job, chunk, row);
-    if (job.header.status === 'cancelled') this.#cancel(job);
+    if (job.header.status === "cancelled") this.#cancel(job);
     this.#soon(0);
   }
 
@@ -250,7 +259,7 @@
       for (const live of [...chunk.live.values()]) {
         // Placed by us and never told to the worker: it cannot have started. A loaded one may.
         if (live.version > 0 && live.told === null) this.#release(job, chunk, live, false);
-        else this.#stopLive(live, 0, 'cancelled');
+        else this.#stopLive(live, 0, "cancelled");
       }
     }
   }
@@ -274,7 +283,7 @@
   }
 
   #find(task: string): { job: Job; chunk: Chunk; index: number } | null {
-    const slash = task.lastIndexOf('/');
+    const slash = task.lastIndexOf("/");
     const job = this.jobs.get(task.slice(0, slash));
     if (job === undefined) return null;
     const number = Number(task.slice(slash + 1));
@@ -303,7 +312,10 @@
       const found = this.#find(live.task);
       if (found !== null) this.#release(found.job, found.chunk, live, false);
     }
-    this.ctx.log.info({ part: this.ctx.index, machine: id, tasks: machine.live.size }, 'machine gone');
+    this.ctx.log.info(
+      { part: this.ctx.index, machine: id, tasks: machine.live.size },
+      "machine gone",
+    );
   }
 
   #stopLive(live: Live, graceS: number, reason: string): void {
@@ -343,7 +355,7 @@
     }
     if (!machine.current) {
       machine.current = true;
-      this.ctx.log.debug({ part: index, machine: machine.id }, 'machine follows us');
+      this.ctx.log.debug({ part: index, machine: machine.id }, "machine follows us");
     }
     machine.session = report.session;
     machine.seq = report.seq;
@@ -369,15 +381,20 @@
   ): void {
     const found = this.#find(task.task);
     const live = found?.chunk.live.get(found.index);
-    if (found === null || live === undefined || live.machine !== machine.id || live.attempt !== task.attempt) {
-      if (task.state === 'exited') {
+    if (
+      found === null ||
+      live === undefined ||
+      live.machine !== machine.id ||
+      live.attempt !== task.attempt
+    ) {
+      if (task.state === "exited") {
         // Its end must be in the store before the worker may forget it.
         if (found === null || found.chunk.saved >= found.chunk.version) {
           commands.push(wire.forgetTask(task.task, task.attempt));
         }
       } else {
         const spec = found?.job.spec;
-        machine.strays.push(spec ?? { cpus: 0, gpus: 0, memGb: 0 } as JobSpec);
+        machine.strays.push(spec ?? ({ cpus: 0, gpus: 0, memGb: 0 } as JobSpec));
         commands.push(wire.stopTask(task.task, task.attempt, 0));
       }
       return;
@@ -385,25 +402,25 @@
     listed.add(live.task);
     const { job, chunk } = found;
     if (live.seenAt === null) live.seenAt = now;
-    if (task.state !== 'exited') {
-      if (task.state === 'running' && !live.running) {
+    if (task.state !== "exited") {
+      if (task.state === "running" && !live.running) {
         live.running = true;
         if (job.spec.image !== null) machine.images.add(job.spec.image);
       }
-      if (live.stop !== null && !(task.state === 'saving' && live.stop.graceS > 0)) {
+      if (live.stop !== null && !(task.state === "saving" && live.stop.graceS > 0)) {
         commands.push(wire.stopTask(live.task, live.attempt, live.stop.graceS));
       }
       return;
     }
-    const completed = task.why === 'done' && job.spec.kind === 'array';
+    const completed = task.why === "done" && job.spec.kind === "array";
     if (completed) {
       job.failures = 0;
       machine.failedJobs.clear();
-    } else if (task.why === 'error') {
+    } else if (task.why === "error") {
       this.#failed(job, machine, now);
-    } else if (task.why !== 'stopped') {
-      this.ctx.log.info({ task: live.task, machine: machine.id, why: task.why }, 'task refused');
-      if (task.why === 'no_such') job.notBefore = now + this.ctx.reportMs;
+    } else if (task.why !== "stopped") {
+      this.ctx.log.info({ task: live.task, machine: machine.id, why: task.why }, "task refused");
+      if (task.why === "no_such") job.notBefore = now + this.ctx.reportMs;
     }
     this.#release(job, chunk, live, completed);
   }
@@ -413,12 +430,15 @@
     machine.failedJobs.add(job.id);
     // Each failure in a row doubles the pause, so a job that cannot succeed does not keep its
     // team's share low and does not push the team's other jobs aside.
-    const pause = Math.min(this.ctx.reportMs * 2 ** Math.min(job.failures, 10), this.ctx.leaseMs * 10);
+    const pause = Math.min(
+      this.ctx.reportMs * 2 ** Math.min(job.failures, 10),
+      this.ctx.leaseMs * 10,
+    );
     job.notBefore = now + (job.failures > 1 ? pause : 0);
     // Different jobs fail on it one after another: it is the machine.
     if (machine.failedJobs.size >= 2 && machine.retired === null) {
-      machine.retired = 'faulty';
-      this.ctx.log.warn({ machine: machine.id }, 'machine set aside: different jobs fail on it');
+      machine.retired = "faulty";
+      this.ctx.log.warn({ machine: machine.id }, "machine set aside: different jobs fail on it");
     }
   }
 
@@ -431,13 +451,17 @@
     const { job, chunk } = found;
     if (chunk.saved < live.version) return;
     const told = live.told;
-    if (live.version === 0 || live.seenAt !== null || (told !== null && told.session < machine.session)) {
+    if (
+      live.version === 0 ||
+      live.seenAt !== null ||
+      (told !== null && told.session < machine.session)
+    ) {
       // This worker has taken our token, no start is on its way, and it does not list the task:
       // the task is gone, or never began.
       this.#release(job, chunk, live, false);
       return;
     }
-    if (live.stop !== null || job.header.status !== 'open') {
+    if (live.stop !== null || job.header.status !== "open") {
       // Every answer that carried the start is older than this report, so none can still arrive.
       this.#release(job, chunk, live, false);
       return;
@@ -447,7 +471,10 @@
       return;
     }
     if (told === null) {
-      this.ctx.log.debug({ task: live.task, machine: machine.id, waited: Math.round(now - live.since) }, 'start');
+      this.ctx.log.debug(
+        { task: live.task, machine: machine.id, waited: Math.round(now - live.since) },
+        "start",
+      );
     }
     live.told = { session: machine.session, seq: machine.seq };
     commands.push(wire.startTask(live.task, live.attempt));
@@ -458,11 +485,26 @@
     for (const live of machine.live.values()) {
       const spec = this.#specOf(live);
       if (spec !== undefined && spec.checkpointS > 0 && live.running) {
-        this.#stopLive(live, Math.max(spec.saveS, 0.1), 'notice');
+        this.#stopLive(live, Math.max(spec.saveS, 0.1), "notice");
       }
     }
   }
 
+  /** Whether most machines that followed us have fallen silent together. */
+  cutOff(): boolean {
+    const now = this.ctx.clock.now();
+    let followed = 0;
+    let silent = 0;
+    for (const machine of this.machines.values()) {
+      // Longer than a lease: that machine has failed by itself, and is dealt with as one.
+      const quiet = now - machine.lastSeen;
+      if (!machine.current || quiet > this.ctx.leaseMs * 1.5) continue;
+      followed++;
+      if (quiet > this.ctx.leaseMs / 3) silent++;
+    }
+    return followed >= 3 && silent > followed * 0.7;
+  }
+
   // ---- the regular work ------------------------------------------------------------------
 
   /** A tick soon: changes that come close together are handled as one. */
@@ -473,7 +515,7 @@
     this.#timerSet = true;
     this.#tickAt = due;
     this.ctx.clock.after(inMs, () => {
-      if (this.#timerSet && this.#tickAt === due) this.tell({ kind: 'tick' });
+      if (this.#timerSet && this.#tickAt === due) this.tell({ kind: "tick" });
     });
   }
 
@@ -512,7 +554,7 @@
     const zones = new Map<string, number>();
     for (const chunk of job.chunks.values()) {
       for (const live of chunk.live.values()) {
-        const zone = this.machines.get(live.machine)?.zone ?? '';
+        const zone = this.machines.get(live.machine)?.zone ?? "";
         zones.set(zone, (zones.get(zone) ?? 0) + 1);
       }
     }
@@ -528,7 +570,7 @@
     this.#short.clear();
     const queues = new Map<string, Job[]>();
     for (const job of this.jobs.values()) {
-      if (job.header.status !== 'open' || job.notBefore > now) continue;
+      if (job.header.status !== "open" || job.notBefore > now) continue;
       let pending = 0;
       for (const chunk of job.chunks.values()) pending += chunk.pending;
       if (pending === 0) continue;
@@ -541,11 +583,11 @@
     const blocked: Job[] = [];
     while (queues.size > 0) {
       // The lowest share starts first.
-      let team = '';
+      let team = "";
       let shares: number[] = [];
       for (const name of queues.keys()) {
         const own = tree.shares(name);
-        if (team === '' || compareShares(own, shares) < 0) {
+        if (team === "" || compareShares(own, shares) < 0) {
           team = name;
           shares = own;
         }
@@ -557,11 +599,69 @@
       queue.shift();
       if (queue.length === 0) queues.delete(team);
     }
-    if (blocked.length > 0) this.#preempt(blocked, machines, types, tree, now);
+    if (blocked.length === 0) return;
+    this.#preempt(blocked, machines, types, tree, now);
+    this.#balance(blocked, machines, types);
+  }
+
+  /** Hands chunks that find no room here to parts that are less pressed. */
+  #balance(blocked: Job[], machines: Machine[], types: ReadonlyMap<string, MachineType>): void {
+    let free = 0;
+    let capacity = 0;
+    for (const machine of machines) {
+      const type = types.get(machine.type);
+      capacity += type?.cpus ?? 0;
+      free += Math.max(0, machine.room(type, this.#specOf).cpus);
+    }
+    let waiting = this.#totalWaiting();
+    const others: { part: number; load: number; capacity: number; sent: { cpus: number } }[] = [];
+    for (let part = 0; part < this.ctx.parts; part++) {
+      const row = this.ctx.mirror.rows.get(keys.summary(part));
+      if (part === this.ctx.index || !isSummary(row?.value)) continue;
+      let sent = this.#sent.get(part);
+      if (sent === undefined || sent.version !== row.version) {
+        sent = { version: row.version, cpus: 0 };
+        this.#sent.set(part, sent);
+      }
+      const { waiting: theirs, free: room, capacity: size } = row.value;
+      if (size > 0) others.push({ part, load: theirs - room + sent.cpus, capacity: size, sent });
+    }
+    for (const job of blocked) {
+      const { spec } = job;
+      const allowedParts = spec.zone === null ? null : this.ctx.partsOf(spec.zone);
+      const pinned = spec.oneZone || spec.spread;
+      const idle = [...job.chunks.values()].filter(
+        (chunk) => chunk.live.size === 0 && chunk.pending > 0 && chunk.movingTo === null,
+      );
+      if (pinned && idle.length < job.chunks.size) continue;
+      for (const group of pinned ? [idle] : idle.map((chunk) => [chunk])) {
+        const cpus = group.reduce((sum, chunk) => sum + chunk.pending * spec.cpus, 0);
+        if (cpus === 0) continue;
+        let best: (typeof others)[number] | null = null;
+        let least = capacity > 0 ? (waiting - free) / capacity : Number.POSITIVE_INFINITY;
+        for (const other of others) {
+          if (allowedParts !== null && !allowedParts.includes(other.part)) continue;
+          // After the move it must still be less pressed than we are now, with its summary's age
+          // in mind; otherwise chunks would travel back and forth.
+          const after = (other.load + cpus) / other.capacity;
+          if (after < least) {
+            least = after;
+            best = other;
+          }
+        }
+        if (best === null) continue;
+        for (const chunk of group) chunk.movingTo = best.part;
+        best.load += cpus;
+        best.sent.cpus += cpus;
+        waiting -= cpus;
+      }
+    }
   }
 
   #hasPending(job: Job): boolean {
-    for (const chunk of job.chunks.values()) if (chunk.nextPending() !== null) return true;
+    for (const chunk of job.chunks.values()) {
+      if (chunk.movingTo === null && chunk.nextPending() !== null) return true;
+    }
     return false;
   }
 
@@ -585,7 +685,7 @@
     const { spec } = job;
     let target: { chunk: Chunk; index: number } | null = null;
     for (const chunk of job.chunks.values()) {
-      const index = chunk.nextPending();
+      const index = chunk.movingTo === null ? chunk.nextPending() : null;
       if (index !== null) {
         target = { chunk, index };
         break;
@@ -593,7 +693,8 @@
     }
     if (target === null || !this.#fitsQuota(spec)) return false;
     // A job that keeps failing is tried with one task at a time.
-    if (job.failures > 1 && [...job.chunks.values()].some((chunk) => chunk.live.size > 0)) return false;
+    if (job.failures > 1 && [...job.chunks.values()].some((chunk) => chunk.live.size > 0))
+      return false;
     const zones = spec.oneZone || spec.spread ? this.#zones(job) : null;
     let best: Machine | null = null;
     let bestCost = Number.POSITIVE_INFINITY;
@@ -642,7 +743,12 @@
             team: spec.team,
             rank: spec.rank,
             size: { cpus: spec.cpus, gpus: spec.gpus },
-            loss: spec.checkpointS > 0 ? 0 : now - live.since,
+            loss: Math.min(
+              now - live.since,
+              spec.checkpointS > 0
+                ? (spec.saveS + spec.checkpointS) * 1000
+                : Number.POSITIVE_INFINITY,
+            ),
             live,
             machine,
             spec,
@@ -676,7 +782,13 @@
         const possible = victims.filter((victim) => victim.live.stop === null);
         const picks = chooseVictims(
           tree,
-          { team: spec.team, rank: spec.rank, size: spec },
+          {
+            team: spec.team,
+            rank: spec.rank,
+            size: spec,
+            // Stopping work to even out shares must not cost more than the asker has waited.
+            patience: Math.max(0, now - job.waitingSince - this.ctx.leaseMs),
+          },
           possible,
           (stopped) => place(stopped) !== null,
           16,
@@ -685,14 +797,14 @@
         if (machine === null) break;
         for (const { victim, reason } of picks) {
           const chosen = byId.get(victim.id)!;
-          const grace = chosen.spec.checkpointS > 0 ? chosen.spec.saveS + this.ctx.reportMs / 1000 : 0;
+          const grace =
+            chosen.spec.checkpointS > 0 ? chosen.spec.saveS + this.ctx.reportMs / 1000 : 0;
           this.#stopLive(chosen.live, grace, reason);
-          this.#preempted++;
           tree.charge(victim.team, victim.size, -1);
           give(rooms.get(chosen.machine.id)!, chosen.spec, 1);
           this.ctx.log.info(
             { task: victim.id, team: victim.team, for: job.id, asker: spec.team, reason },
-            'task preempted',
+            "task preempted",
           );
         }
         give(rooms.get(machine.id)!, spec, -1);
@@ -707,8 +819,8 @@
     const now = this.ctx.clock.now();
     if (this.#saving || now < this.#retryAt) return;
     const batch = this.#collect();
-    if (batch.then.length === 0) return;
-    if (!this.ctx.store.writes.take(batch.then.length)) {
+    if (batch.changes.length === 0) return;
+    if (!this.ctx.store.writes.take(batch.changes.length)) {
       this.#soon(this.ctx.reportMs / 10);
       return;
     }
@@ -720,14 +832,14 @@
     const { index, token, store, mirror, limits } = this.ctx;
     const batch: Batch = {
       when: [{ key: keys.claim(index), version: token }],
-      then: [],
+      changes: [],
       saves: [],
       headers: [],
       slices: [],
     };
     let bytes = 1024;
     const room = (n: number, size: number): boolean =>
-      batch.then.length + n <= store.limits.ops &&
+      batch.changes.length + n <= store.limits.ops &&
       batch.when.length + n <= store.limits.conditions &&
       bytes + size <= store.limits.txnBytes;
     for (const [team, limit] of limits) {
@@ -758,7 +870,7 @@
       // Until the answer is known, only what is ours in either case counts.
       this.#slices.set(team, smaller(own, after));
       batch.when.push({ key, version: row?.version ?? 0 });
-      batch.then.push({ put: key, value: next });
+      batch.changes.push({ put: key, value: next });
       batch.slices.push({ team, before: own, record: next });
       bytes += 64 + JSON.stringify(next).length;
     }
@@ -768,11 +880,13 @@
       const version = mirror.rows.get(key)?.version ?? 0;
       let conditioned = false;
       for (const chunk of job.chunks.values()) {
-        const over = job.header.status !== 'open';
+        const over = job.header.status !== "open";
         const deletes = chunk.complete || (over && chunk.live.size === 0);
-        if (!deletes && chunk.saved >= chunk.version) continue;
+        if (deletes || chunk.live.size > 0) chunk.movingTo = null;
+        const target = chunk.movingTo;
+        if (!deletes && target === null && chunk.saved >= chunk.version) continue;
         if (!room(3, store.limits.valueBytes * 2)) {
-          if (batch.then.length > 0) break;
+          if (batch.changes.length > 0) break;
         }
         const value = chunk.record();
         bytes += 128 + JSON.stringify(value).length;
@@ -782,33 +896,46 @@
           conditioned = true;
         }
         const chunkKey = keys.chunk(index, job.id, chunk.index);
-        if (deletes) {
+        if (deletes || target !== null) {
           if (chunk.stamp > 0) {
             batch.when.push({ key: chunkKey, version: chunk.stamp });
-            batch.then.push({ remove: chunkKey });
+            batch.changes.push({ remove: chunkKey });
           }
-          if (!over) {
+          if (target !== null) {
+            // What it has done, and the attempts it has used, go with it.
+            if (chunk.attempts > 0) {
+              batch.changes.push({ put: keys.chunk(target, job.id, chunk.index), value });
+            }
+            header = { ...(header ?? job.header) };
+            header.owners = withOwner(header.owners, chunk.index, partChar(target));
+            header.moves++;
+          } else if (!over) {
             header = header ?? { ...job.header };
             header.owners = withOwner(header.owners, chunk.index, FINISHED);
           }
         } else {
           batch.when.push({ key: chunkKey, version: chunk.stamp });
-          batch.then.push({ put: chunkKey, value });
+          batch.changes.push({ put: chunkKey, value });
           if (!over && !job.header.started && chunk.index === 0) {
             header = { ...(header ?? job.header), started: true };
           }
         }
-        batch.saves.push({ chunk, version: chunk.version, deletes });
+        batch.saves.push({
+          chunk,
+          version: chunk.version,
+          deletes: deletes || target !== null,
+          moves: target !== null,
+        });
       }
       if (header !== null) {
-        if (allFinished(header.owners)) header = finalHeader(header, 'done');
-        batch.then.push({ put: key, value: header });
+        if (allFinished(header.owners)) header = finalHeader(header, "done");
+        batch.changes.push({ put: key, value: header });
         batch.headers.push({ id: job.id, header });
         bytes += 64 + JSON.stringify(header).length;
       }
     }
     // Chunks of cancelled jobs that were never written leave nothing to commit.
-    if (batch.then.length === 0) {
+    if (batch.changes.length === 0) {
       for (const { chunk, deletes } of batch.saves) if (deletes) this.#dropChunk(chunk);
     }
     return batch;
@@ -817,7 +944,7 @@
   #waiting(team: string): Amounts {
     let sum = ZERO;
     for (const job of this.jobs.values()) {
-      if (job.spec.team !== team || job.header.status !== 'open') continue;
+      if (job.spec.team !== team || job.header.status !== "open") continue;
       let pending = 0;
       for (const chunk of job.chunks.values()) pending += chunk.pending;
       sum = add(sum, { cpus: pending * job.spec.cpus, gpus: pending * job.spec.gpus });
@@ -837,23 +964,23 @@
   async #commit(batch: Batch): Promise<void> {
     const { store, clock, log } = this.ctx;
     try {
-      const result = await store.transact(batch.when, batch.then);
+      const result = await store.transact(batch.when, batch.changes);
       if (result.ok) {
-        this.tell({ kind: 'committed', batch, revision: result.revision });
+        this.tell({ kind: "committed", batch, revision: result.revision });
         return;
       }
       if (result.failed.includes(keys.claim(this.ctx.index))) {
-        this.ctx.lost('claim changed');
+        this.ctx.lost("claim changed");
         return;
       }
     } catch (error) {
-      log.debug({ why: String(error) }, 'commit without answer');
+      log.debug({ why: String(error) }, "commit without answer");
       if (error instanceof Refused) {
         // Not executed. The same changes are collected again later.
         await new Promise<void>((resolve) => {
           clock.after(this.ctx.reportMs / 10, resolve);
         });
-        this.tell({ kind: 'refused', batch, failed: [], missing: [] });
+        this.tell({ kind: "refused", batch, failed: [], missing: [] });
         return;
       }
     }
@@ -868,7 +995,7 @@
           if (row === null) missing.push(key);
           else failed.push(row);
         }
-        this.tell({ kind: 'refused', batch, failed, missing });
+        this.tell({ kind: "refused", batch, failed, missing });
         return;
       } catch {
         await new Promise<void>((resolve) => {
@@ -892,7 +1019,7 @@
       const job = this.jobs.get(id);
       if (job !== undefined) job.header = header;
       this.#apply(keys.job(id), header, revision);
-      if (header.status === 'done') this.ctx.log.info({ job: id }, 'job done');
+      if (header.status === "done") this.ctx.log.info({ job: id }, "job done");
     }
     for (const { chunk, deletes } of batch.saves) if (deletes) this.#dropChunk(chunk);
     this.#soon(0);
@@ -910,10 +1037,11 @@
 
   #onRefused(batch: Batch, rows: Row[], missing: string[]): void {
     this.#saving = false;
+    for (const { chunk, moves } of batch.saves) if (moves) chunk.movingTo = null;
     const versions = new Map<string, number>();
     for (const row of rows) {
       versions.set(row.key, row.version);
-      if (!row.key.startsWith('c/')) this.#apply(row.key, row.value, row.version);
+      if (!row.key.startsWith("c/")) this.#apply(row.key, row.value, row.version);
     }
     for (const key of missing) versions.set(key, 0);
     for (const { chunk } of batch.saves) {
@@ -953,7 +1081,7 @@
   #totalWaiting(): number {
     let sum = 0;
     for (const job of this.jobs.values()) {
-      if (job.header.status !== 'open') continue;
+      if (job.header.status !== "open") continue;
       for (const chunk of job.chunks.values()) sum += chunk.pending * job.spec.cpus;
     }
     return Math.round(sum);
@@ -966,7 +1094,7 @@
       Object.fromEntries([...map].map(([team, a]) => [team, [a.cpus, a.gpus]]));
     const needs = new Map<string, Need>();
     for (const job of this.jobs.values()) {
-      if (job.header.status !== 'open' || job.failures > 1) continue;
+      if (job.header.status !== "open" || job.failures > 1) continue;
       let count = 0;
       for (const chunk of job.chunks.values()) count += chunk.pending;
       if (count === 0) continue;
@@ -981,12 +1109,16 @@
     const idle: Record<string, number> = {};
     const retired: string[] = [];
     let free = 0;
+    let capacity = 0;
     for (const machine of this.machines.values()) {
       const silent = now - machine.lastSeen > this.ctx.leaseMs * 1.1;
       if (silent || (machine.retired !== null && machine.live.size === 0)) retired.push(machine.id);
-      else if (machine.live.size === 0) idle[machine.id] = Math.round((now - machine.idleSince) / 1000);
+      else if (machine.live.size === 0)
+        idle[machine.id] = Math.round((now - machine.idleSince) / 1000);
       if (this.#usable(machine, now)) {
-        free += Math.max(0, machine.room(types.get(machine.type), this.#specOf).cpus);
+        const type = types.get(machine.type);
+        capacity += type?.cpus ?? 0;
+        free += Math.max(0, machine.room(type, this.#specOf).cpus);
       }
     }
     return {
@@ -994,6 +1126,7 @@
       need: [...needs.values()].slice(0, 40),
       short: pairs(this.#short),
       free,
+      capacity,
       waiting: this.#totalWaiting(),
       machines: [...this.machines.keys()],
       retired,
@@ -1013,7 +1146,9 @@
 function byUrgency(a: Job, b: Job): number {
   if (a.spec.rank !== b.spec.rank) return b.spec.rank - a.spec.rank;
   const due = (job: Job): number =>
-    job.spec.deadlineS === null ? Number.POSITIVE_INFINITY : job.header.at + job.spec.deadlineS * 1000;
+    job.spec.deadlineS === null
+      ? Number.POSITIVE_INFINITY
+      : job.header.at + job.spec.deadlineS * 1000;
   const x = due(a);
   const y = due(b);
   return x === y ? a.header.at - b.header.at : x - y;
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -8,6 +8,8 @@
   short: Record<string, [number, number]>;
   /** Free CPUs on machines that take tasks. */
   free: number;
+  /** All CPUs of those machines. */
+  capacity: number;
   /** CPUs of tasks that wait, over all teams. */
   waiting: number;
   machines: string[];
@@ -29,5 +31,5 @@
 }
 
 export function isSummary(value: unknown): value is Summary {
-  return typeof value === 'object' && value !== null && 'use' in value && 'need' in value;
+  return typeof value === "object" && value !== null && "use" in value && "need" in value;
 }
--- a/src/quota/slices.ts
+++ b/src/quota/slices.ts
@@ -1,4 +1,4 @@
-import { type Amounts, add, minus } from '../fair/share.js';
+import { type Amounts, add, minus } from "../fair/share.js";
 
 /**
  * A team's limit, split between parts: one key a team holds every part's slice, and their sum
@@ -38,4 +38,4 @@
 }
 
 export const isSliceRecord = (value: unknown): value is SliceRecord =>
-  typeof value === 'object' && value !== null && !Array.isArray(value);
+  typeof value === "object" && value !== null && !Array.isArray(value);
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,8 +1,8 @@
-import { readFileSync } from 'node:fs';
-import { parse, TomlError } from 'smol-toml';
-import { z } from 'zod';
+import { readFileSync } from "node:fs";
+import { parse, TomlError } from "smol-toml";
+import { z } from "zod";
 
-const address = z.string().regex(/^[^:\s]+:\d{1,5}$/, 'expected host:port');
+const address = z.string().regex(/^[^:\s]+:\d{1,5}$/, "expected host:port");
 const positive = z.number().finite().positive();
 const amount = z.number().finite().nonnegative();
 
@@ -61,13 +61,13 @@
     raw = parse(text);
   } catch (error) {
     if (!(error instanceof TomlError)) throw error;
-    const reason = error.message.split('\n')[0] ?? 'not TOML';
+    const reason = error.message.split("\n")[0] ?? "not TOML";
     throw new SettingsError(`${file}:${error.line}: ${reason}`);
   }
   const result = schema.safeParse(raw);
   if (!result.success) {
     const issue = result.error.issues[0];
-    throw new SettingsError(`${file}: ${issue?.path.join('.') || 'file'}: ${issue?.message}`);
+    throw new SettingsError(`${file}: ${issue?.path.join(".") || "file"}: ${issue?.message}`);
   }
   const settings = result.data;
   const names = new Set<string>();
@@ -91,9 +91,9 @@
 export function loadSettings(file: string): Settings {
   let text: string;
   try {
-    text = readFileSync(file, 'utf8');
+    text = readFileSync(file, "utf8");
   } catch (error) {
-    throw new SettingsError(`${file}: ${(error as NodeJS.ErrnoException).code ?? 'unreadable'}`);
+    throw new SettingsError(`${file}: ${(error as NodeJS.ErrnoException).code ?? "unreadable"}`);
   }
   return parseSettings(text, file);
 }
--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock.js';
+import type { Clock } from "../clock.js";
 
 /** A token bucket: `rate` a second, with bursts of up to `burst`. */
 export class Budget {
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -1,7 +1,7 @@
-import { type Clock, sleep } from '../clock.js';
-import type { Log } from '../log.js';
-import { WATCHED } from './keys.js';
-import { type Event, Refused, type Store } from './store.js';
+import { type Clock, sleep } from "../clock.js";
+import type { Log } from "../log.js";
+import { WATCHED } from "./keys.js";
+import { type Event, Refused, type Store } from "./store.js";
 
 type Listener = (event: Event) => void;
 
@@ -80,10 +80,10 @@
         this.contactAt = sentAt;
         this.ready = true;
         this.#wake();
-        if (!this.#reachable) this.log.info('state service answers again');
+        if (!this.#reachable) this.log.info("state service answers again");
         this.#reachable = true;
       } catch (error) {
-        if (this.#reachable) this.log.warn({ why: String(error) }, 'state service does not answer');
+        if (this.#reachable) this.log.warn({ why: String(error) }, "state service does not answer");
         this.#reachable = false;
         await sleep(this.clock, error instanceof Refused ? this.waitMs / 4 : this.waitMs / 10);
       }
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -1,9 +1,9 @@
-import type { Clock } from '../clock.js';
-import { type Answer, type HttpClient, NoAnswer } from '../http/client.js';
-import * as wire from '../wire/store.js';
-import { Budget } from './budget.js';
+import type { Clock } from "../clock.js";
+import { type Answer, type HttpClient, NoAnswer } from "../http/client.js";
+import * as wire from "../wire/store.js";
+import { Budget } from "./budget.js";
 
-export type { Change, Condition, Event, Row } from '../wire/store.js';
+export type { Change, Condition, Event, Row } from "../wire/store.js";
 
 /** Certainly not executed: an outage, or over a rate limit. */
 export class Refused extends Error {}
@@ -66,14 +66,14 @@
     urgent = false,
   ): Promise<Answer> {
     if (urgent) this.#requests.force(1);
-    else if (!this.#requests.take(1, this.limits.rps / 10)) throw new Refused('own rate limit');
+    else if (!this.#requests.take(1, this.limits.rps / 10)) throw new Refused("own rate limit");
     const answer = await this.http.call(method, path, body, timeoutMs);
     if (answer.status === 503 || answer.status === 429) throw new Refused(String(answer.status));
     return answer;
   }
 
   async get(key: string): Promise<wire.Row | null> {
-    const answer = await this.#call('GET', wire.paths.get(key));
+    const answer = await this.#call("GET", wire.paths.get(key));
     if (answer.status === 404) return null;
     const row = answer.status === 200 ? wire.parseRow(answer.body) : null;
     if (row === null) throw new Garbled(`get ${key}: ${answer.status}`);
@@ -85,7 +85,7 @@
     let after: string | null = null;
     let revision = Number.POSITIVE_INFINITY;
     for (;;) {
-      const answer: Answer = await this.#call('GET', wire.paths.list(prefix, after, 1000));
+      const answer: Answer = await this.#call("GET", wire.paths.list(prefix, after, 1000));
       const page = answer.status === 200 ? wire.parsePage(answer.body) : null;
       if (page === null) throw new Garbled(`list ${prefix}: ${answer.status}`);
       rows.push(...page.rows);
@@ -99,15 +99,19 @@
 
   async transact(when: wire.Condition[], then: wire.Change[]): Promise<TxnResult> {
     this.writes.force(then.length);
-    const answer = await this.#call('POST', wire.paths.transaction, wire.transactionBody(when, then));
+    const answer = await this.#call(
+      "POST",
+      wire.paths.transaction,
+      wire.transactionBody(when, then),
+    );
     const revision = wire.parseRevision(answer.body);
     if (answer.status === 200 && revision !== null) return { ok: true, revision };
     if (answer.status === 409 && revision !== null) {
       return { ok: false, failed: wire.parseFailed(answer.body), revision };
     }
     if (answer.status === 400) {
-      if (then.some((change) => 'put' in change && change.lease !== undefined)) {
-        throw new NoLease('no such lease');
+      if (then.some((change) => "put" in change && change.lease !== undefined)) {
+        throw new NoLease("no such lease");
       }
       throw new Refused(`transaction refused: ${JSON.stringify(answer.body)}`);
     }
@@ -117,7 +121,7 @@
 
   async openLease(ttlMs: number): Promise<number | string> {
     const answer = await this.#call(
-      'POST',
+      "POST",
       wire.paths.leases,
       wire.leaseBody(Math.round(ttlMs)),
       this.timeoutMs,
@@ -129,8 +133,8 @@
   }
 
   async renewLease(lease: number | string, timeoutMs: number): Promise<void> {
-    const answer = await this.#call('POST', wire.paths.renew(lease), undefined, timeoutMs, true);
-    if (answer.status === 404) throw new NoLease('lease ended');
+    const answer = await this.#call("POST", wire.paths.renew(lease), undefined, timeoutMs, true);
+    if (answer.status === 404) throw new NoLease("lease ended");
     if (answer.status !== 200) throw new Garbled(`renew: ${answer.status}`);
   }
 
@@ -140,7 +144,7 @@
     waitMs: number,
   ): Promise<{ revision: number; events: wire.Event[] } | null> {
     const answer = await this.#call(
-      'GET',
+      "GET",
       wire.paths.watch(prefix, after, waitMs),
       undefined,
       waitMs + this.timeoutMs,
--- a/src/wire/cbor.ts
+++ b/src/wire/cbor.ts
@@ -1,4 +1,4 @@
-import { Encoder } from 'cbor-x';
+import { Encoder } from "cbor-x";
 
 // Plain maps only: no records, no shared structures, nothing that other CBOR readers lack.
 const coder = new Encoder({
@@ -19,7 +19,7 @@
 
 export function isMap(value: unknown): value is Record<string, unknown> {
   return (
-    typeof value === 'object' &&
+    typeof value === "object" &&
     value !== null &&
     !Array.isArray(value) &&
     (Object.getPrototypeOf(value) === Object.prototype || Object.getPrototypeOf(value) === null)
--- a/src/wire/cloud.ts
+++ b/src/wire/cloud.ts
@@ -1,4 +1,4 @@
-import { isMap } from './cbor.js';
+import { isMap } from "./cbor.js";
 
 export interface MachineType {
   name: string;
@@ -16,7 +16,7 @@
   type: string;
   zone: string;
   spot: boolean;
-  state: 'booting' | 'running' | 'failed';
+  state: "booting" | "running" | "failed";
   ageS: number;
 }
 
@@ -24,21 +24,21 @@
 export const MAX_RENT = 50;
 export const MAX_RETURN = 100;
 export const paths = {
-  types: '/catalog',
-  rent: '/hosts',
-  giveBack: '/hosts/return',
+  types: "/catalog",
+  rent: "/hosts",
+  giveBack: "/hosts/return",
   list: (after: string): string =>
-    `/hosts?most=${PAGE_SIZE}${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`,
+    `/hosts?most=${PAGE_SIZE}${after === "" ? "" : `&after=${encodeURIComponent(after)}`}`,
 };
 
 const num = (value: unknown, fallback = 0): number =>
-  typeof value === 'number' && Number.isFinite(value) ? value : fallback;
+  typeof value === "number" && Number.isFinite(value) ? value : fallback;
 
 export function parseTypes(body: unknown): MachineType[] | null {
   if (!isMap(body) || !Array.isArray(body.builds)) return null;
   const types: MachineType[] = [];
   for (const item of body.builds) {
-    if (!isMap(item) || typeof item.name !== 'string') return null;
+    if (!isMap(item) || typeof item.name !== "string") return null;
     types.push({
       name: item.name,
       cpus: num(item.cores),
@@ -47,7 +47,7 @@
       price: num(item.rate),
       spotPrice: num(item.spotPrice, num(item.rate)),
       bootS: num(item.bootS),
-      zones: Array.isArray(item.berths) ? item.berths.filter((z) => typeof z === 'string') : [],
+      zones: Array.isArray(item.berths) ? item.berths.filter((z) => typeof z === "string") : [],
     });
   }
   return types;
@@ -57,14 +57,14 @@
   if (!isMap(body) || !Array.isArray(body.hosts)) return null;
   const machines: ListedMachine[] = [];
   for (const item of body.hosts) {
-    if (!isMap(item) || typeof item.uid !== 'string') return null;
+    if (!isMap(item) || typeof item.uid !== "string") return null;
     machines.push({
       id: item.uid,
       type: String(item.build),
       zone: String(item.berth),
       spot: item.borrowed === true,
       state:
-        item.status === 'failed' ? 'failed' : item.status === 'starting' ? 'booting' : 'running',
+        item.status === "failed" ? "failed" : item.status === "starting" ? "booting" : "running",
       ageS: num(item.heldS),
     });
   }
@@ -83,5 +83,5 @@
 
 export function parseRented(body: unknown): string[] | null {
   if (!isMap(body) || !Array.isArray(body.hosts)) return null;
-  return body.hosts.filter((host): host is string => typeof host === 'string');
+  return body.hosts.filter((host): host is string => typeof host === "string");
 }
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -1,8 +1,8 @@
-import { z } from 'zod';
-import { isMap } from './cbor.js';
+import { z } from "zod";
+import { isMap } from "./cbor.js";
 
 /** Lower rank is stopped first. */
-export const PRIORITIES = ['best_effort', 'normal', 'urgent', 'prod'] as const;
+export const PRIORITIES = ["best_effort", "normal", "urgent", "prod"] as const;
 export type Priority = (typeof PRIORITIES)[number];
 export const MAX_TASKS = 100_000;
 
@@ -10,7 +10,7 @@
 export interface JobSpec {
   class: string;
   team: string;
-  kind: 'array' | 'service';
+  kind: "array" | "service";
   /** Index into PRIORITIES. */
   rank: number;
   tasks: number;
@@ -43,10 +43,10 @@
 const name = z.string().min(1).max(200);
 
 const submission = z.object({
-  uid: z.string().regex(JOB_ID, 'not a job id'),
+  uid: z.string().regex(JOB_ID, "not a job id"),
   eidos: name,
   owner: name,
-  shape: z.enum(['batch', 'service']),
+  shape: z.enum(["batch", "service"]),
   urgency: z.enum(PRIORITIES),
   pieces: count,
   cores: amount,
@@ -68,11 +68,11 @@
 export type Parsed<T> = { ok: true; value: T } | { ok: false; reason: string };
 
 export function parseSubmission(body: unknown): Parsed<{ id: string; spec: JobSpec }> {
-  if (!isMap(body)) return { ok: false, reason: 'the body is not a map' };
+  if (!isMap(body)) return { ok: false, reason: "the body is not a map" };
   const result = submission.safeParse(body);
   if (!result.success) {
     const issue = result.error.issues[0];
-    return { ok: false, reason: `${issue?.path.join('.') ?? 'body'}: ${issue?.message}` };
+    return { ok: false, reason: `${issue?.path.join(".") ?? "body"}: ${issue?.message}` };
   }
   const job = result.data;
   return {
@@ -82,7 +82,7 @@
       spec: {
         class: job.eidos,
         team: job.owner,
-        kind: job.shape === 'batch' ? 'array' : 'service',
+        kind: job.shape === "batch" ? "array" : "service",
         rank: PRIORITIES.indexOf(job.urgency),
         tasks: job.pieces,
         cpus: job.cores,
@@ -103,7 +103,7 @@
   };
 }
 
-export type JobStatus = 'pending' | 'running' | 'done' | 'cancelled';
+export type JobStatus = "pending" | "running" | "done" | "cancelled";
 
 export function statusBody(
   id: string,
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -1,4 +1,4 @@
-import { isMap } from './cbor.js';
+import { isMap } from "./cbor.js";
 
 export interface Row {
   key: string;
@@ -9,9 +9,7 @@
   key: string;
   version: number;
 }
-export type Change =
-  | { put: string; value: unknown; lease?: number | string }
-  | { remove: string };
+export type Change = { put: string; value: unknown; lease?: number | string } | { remove: string };
 export interface Event {
   key: string;
   /** `undefined` for a deletion. */
@@ -23,9 +21,9 @@
 export const paths = {
   get: (key: string): string => `/kv/${key}`,
   list: (prefix: string, after: string | null, limit: number): string =>
-    `/kv?under=${prefix}${after === null ? '' : `&after=${after}`}&most=${limit}`,
-  transaction: '/multi',
-  leases: '/holds',
+    `/kv?under=${prefix}${after === null ? "" : `&after=${after}`}&most=${limit}`,
+  transaction: "/multi",
+  leases: "/holds",
   renew: (lease: string | number): string => `/holds/${lease}/extend`,
   watch: (prefix: string, after: number, waitMs: number): string =>
     `/watch?under=${prefix}&after=${after}&blockMs=${waitMs}`,
@@ -37,7 +35,7 @@
   return {
     when: when.map(({ key, version }) => ({ path: key, stamp: version })),
     then: then.map((change) =>
-      'put' in change
+      "put" in change
         ? change.lease === undefined
           ? { write: change.put, data: change.value }
           : { write: change.put, data: change.value, tenancy: change.lease }
@@ -47,10 +45,10 @@
 }
 
 const integer = (value: unknown): number | null =>
-  typeof value === 'number' || typeof value === 'bigint' ? Number(value) : null;
+  typeof value === "number" || typeof value === "bigint" ? Number(value) : null;
 
 export function parseRow(body: unknown): Row | null {
-  if (!isMap(body) || typeof body.path !== 'string') return null;
+  if (!isMap(body) || typeof body.path !== "string") return null;
   const version = integer(body.stamp);
   return version === null ? null : { key: body.path, value: body.data, version };
 }
@@ -79,8 +77,8 @@
 export function parseLease(body: unknown): number | string | null {
   if (!isMap(body)) return null;
   const id = body.tenancy;
-  if (typeof id === 'bigint') return Number(id);
-  return typeof id === 'number' || typeof id === 'string' ? id : null;
+  if (typeof id === "bigint") return Number(id);
+  return typeof id === "number" || typeof id === "string" ? id : null;
 }
 
 export function parseEvents(body: unknown): { revision: number; events: Event[] } | null {
@@ -94,9 +92,9 @@
     if (!isMap(item)) return null;
     const version = integer(item.stamp);
     if (version === null) return null;
-    if (typeof item.write === 'string') {
+    if (typeof item.write === "string") {
       events.push({ key: item.write, value: item.data, version, deleted: false });
-    } else if (typeof item.delete === 'string') {
+    } else if (typeof item.delete === "string") {
       events.push({ key: item.delete, value: undefined, version, deleted: true });
     } else return null;
   }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -1,6 +1,6 @@
-import type { Live } from '../jobs/chunk.js';
-import type { MachineType } from '../wire/cloud.js';
-import type { JobSpec } from '../wire/jobs.js';
+import type { Live } from "../jobs/chunk.js";
+import type { MachineType } from "../wire/cloud.js";
+import type { JobSpec } from "../wire/jobs.js";
 
 export interface Room {
   cpus: number;
@@ -10,10 +10,10 @@
 
 /** What the part's owner knows of one machine, under its own token. */
 export class Machine {
-  type = '';
-  zone = '';
+  type = "";
+  zone = "";
   spot = false;
-  address = '';
+  address = "";
   session = 0;
   seq = -1;
   /**
@@ -64,9 +64,7 @@
 }
 
 export const fitsRoom = (room: Room, spec: JobSpec): boolean =>
-  spec.cpus <= room.cpus + 1e-6 &&
-  spec.gpus <= room.gpus + 1e-6 &&
-  spec.memGb <= room.memGb + 1e-6;
+  spec.cpus <= room.cpus + 1e-6 && spec.gpus <= room.gpus + 1e-6 && spec.memGb <= room.memGb + 1e-6;
 
 /** Whether a machine of this kind may run the job at all. */
 export const allowed = (
@@ -88,7 +86,11 @@
  * Whether placing one more task of a job in `zone` keeps the job's zone rules, given the zones of
  * its other tasks that are placed and not proved gone.
  */
-export function zoneAllowed(spec: JobSpec, zone: string, perZone: ReadonlyMap<string, number>): boolean {
+export function zoneAllowed(
+  spec: JobSpec,
+  zone: string,
+  perZone: ReadonlyMap<string, number>,
+): boolean {
   if (spec.oneZone) {
     for (const [other, count] of perZone) if (other !== zone && count > 0) return false;
   }
--- /dev/null
+++ b/test/share.test.ts
@@ -0,0 +1,154 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { chooseVictims, mayStop, type Victim } from "../src/fair/preempt.js";
+import { ROOT, Tree, compareShares, flatTree } from "../src/fair/share.js";
+
+const cpus = (n: number) => ({ cpus: n, gpus: 0 });
+
+// Worked out by hand: use above guarantee over the sum of all guarantees, divided by the weight.
+const shareCases = [
+  { name: "nothing used", use: 0, guarantee: 10, others: 30, weight: 1, share: 0 },
+  { name: "all of the guarantee", use: 10, guarantee: 10, others: 30, weight: 1, share: 0 },
+  { name: "ten above of forty", use: 20, guarantee: 10, others: 30, weight: 1, share: 0.25 },
+  { name: "weight two halves it", use: 20, guarantee: 10, others: 30, weight: 2, share: 0.125 },
+  { name: "no guarantee at all", use: 8, guarantee: 0, others: 40, weight: 1, share: 0.2 },
+];
+for (const c of shareCases) {
+  test(`share: ${c.name}`, () => {
+    const teams = [
+      { name: "a", cpus: c.guarantee, gpus: 0 },
+      { name: "b", cpus: c.others, gpus: 0 },
+    ];
+    const tree = flatTree(teams, new Map([["a", c.weight]]));
+    tree.charge("a", cpus(c.use));
+    assert.ok(Math.abs(tree.share("a") - c.share) < 1e-9);
+  });
+}
+
+test("share: the largest ratio over the resources counts", () => {
+  const tree = flatTree([
+    { name: "a", cpus: 10, gpus: 2 },
+    { name: "b", cpus: 30, gpus: 2 },
+  ]);
+  tree.charge("a", { cpus: 14, gpus: 4 });
+  assert.equal(tree.share("a"), 0.5); // 4/40 of the CPUs, 2/4 of the GPUs
+});
+
+test("share: groups are compared from the root down", () => {
+  // Story 2 of KEP-1714: departments first, then their teams.
+  const tree = new Tree([
+    { name: ROOT, parent: null, weight: 1, nominal: cpus(40) },
+    { name: "d1", parent: ROOT, weight: 1, nominal: cpus(20) },
+    { name: "d2", parent: ROOT, weight: 1, nominal: cpus(20) },
+    { name: "1a", parent: "d1", weight: 1, nominal: cpus(10) },
+    { name: "1b", parent: "d1", weight: 1, nominal: cpus(10) },
+    { name: "2a", parent: "d2", weight: 1, nominal: cpus(20) },
+  ]);
+  tree.charge("1b", cpus(14));
+  tree.charge("2a", cpus(24));
+  // 1b borrows from 1a inside its department, which as a whole borrows nothing.
+  assert.deepEqual(tree.shares("1b"), [0, 0.2]);
+  assert.deepEqual(tree.shares("2a"), [0.1, 0.2]);
+  assert.ok(compareShares(tree.shares("1b"), tree.shares("2a")) < 0);
+  assert.deepEqual(tree.siblings("1b", "2a"), { x: "d1", y: "d2" });
+  assert.deepEqual(tree.siblings("1a", "1b"), { x: "1a", y: "1b" });
+});
+
+const teams = [
+  { name: "x", cpus: 20, gpus: 0 },
+  { name: "y", cpus: 20, gpus: 0 },
+  { name: "z", cpus: 0, gpus: 0 },
+];
+const victim = (id: string, team: string, size: number, rank = 1, loss = 0): Victim => ({
+  id,
+  team,
+  rank,
+  size: cpus(size),
+  loss,
+});
+
+const stopCases = [
+  { name: "S1: under guarantee, from a borrower", x: 10, y: 30, z: 0, size: 4, v: 2, want: "reclaim" },
+  { name: "not from one within its guarantee", x: 10, y: 20, z: 0, size: 4, v: 2, want: null },
+  { name: "S2-a: the borrower stays above", x: 20, y: 30, z: 0, size: 2, v: 2, want: "fair" },
+  { name: "S2-a: equal afterwards is enough", x: 20, y: 24, z: 0, size: 2, v: 2, want: "fair" },
+  { name: "S2-b: one huge task strictly above", x: 20, y: 30, z: 0, size: 2, v: 10, want: "greedy" },
+  { name: "not when the asker would be above", x: 28, y: 30, z: 0, size: 4, v: 2, want: null },
+];
+for (const c of stopCases) {
+  test(`preemption: ${c.name}`, () => {
+    const tree = flatTree(teams);
+    tree.charge("x", cpus(c.x));
+    tree.charge("y", cpus(c.y));
+    tree.charge("z", cpus(c.z));
+    const asker = { team: "x", rank: 1, size: cpus(c.size), patience: 1 };
+    assert.equal(mayStop(tree, asker, victim("v", "y", c.v)), c.want);
+  });
+}
+
+test("preemption: inside a team only lower priority is stopped", () => {
+  const tree = flatTree(teams);
+  const asker = { team: "x", rank: 1, size: cpus(1), patience: 0 };
+  assert.equal(mayStop(tree, asker, victim("v", "x", 1, 0)), "priority");
+  assert.equal(mayStop(tree, asker, victim("v", "x", 1, 1)), null);
+});
+
+test("preemption: evening out never destroys more than the asker has waited", () => {
+  const tree = flatTree(teams);
+  tree.charge("x", cpus(20));
+  tree.charge("y", cpus(40));
+  const asker = { team: "x", rank: 1, size: cpus(1), patience: 10 };
+  assert.equal(mayStop(tree, asker, victim("v", "y", 1, 1, 11)), null);
+  assert.equal(mayStop(tree, asker, victim("v", "y", 1, 1, 9)), "fair");
+});
+
+const pickCases = [
+  {
+    name: "C1: the highest share first",
+    victims: [victim("y1", "y", 2), victim("z1", "z", 2)],
+    need: 2,
+    want: ["z1"],
+  },
+  {
+    name: "C2: then the lowest priority",
+    victims: [victim("z1", "z", 2, 1), victim("z2", "z", 2, 0)],
+    need: 2,
+    want: ["z2"],
+  },
+  {
+    name: "C3: then the smallest",
+    victims: [victim("z1", "z", 4), victim("z2", "z", 2)],
+    need: 2,
+    want: ["z2"],
+  },
+  {
+    name: "put back: what the larger pick makes needless",
+    victims: [victim("z1", "z", 1), victim("z2", "z", 4)],
+    need: 4,
+    want: ["z2"],
+  },
+  { name: "nothing when it does not help", victims: [victim("z1", "z", 1)], need: 4, want: [] },
+];
+for (const c of pickCases) {
+  test(`preemption: ${c.name}`, () => {
+    const tree = flatTree(teams);
+    tree.charge("x", cpus(4));
+    tree.charge("y", cpus(22));
+    tree.charge("z", cpus(14));
+    const picks = chooseVictims(
+      tree,
+      { team: "x", rank: 1, size: cpus(c.need), patience: 0 },
+      c.victims,
+      (stopped) => {
+        // Freed amounts do not add up across machines: each victim is on one of its own.
+        return c.victims.some((v) => stopped.has(v.id) && v.size.cpus >= c.need);
+      },
+      16,
+    );
+    assert.deepEqual(
+      picks.map((pick) => pick.victim.id),
+      c.want,
+    );
+    assert.equal(tree.use("z").cpus, 14, "the tree is left as it was");
+  });
+}
