--- a/src/jobs/header.ts
+++ b/src/jobs/header.ts
@@ -39,6 +39,10 @@
   return header.started ? "running" : "pending";
 }
 
+/** Whether all tasks have to be in one part: gangs, and rules about the zones of all tasks. */
+export const undivided = (spec: JobSpec): boolean =>
+  spec.kind === "gang" || spec.oneZone || spec.spread;
+
 export function isHeader(value: unknown): value is Header {
   return typeof value === "object" && value !== null && "status" in value && "owners" in value;
 }
--- a/src/node.ts
+++ b/src/node.ts
@@ -5,7 +5,14 @@
 import { type Amounts, flatTree, within } from "./fair/share.js";
 import { HttpClient } from "./http/client.js";
 import { type Reply, type Route, type Router, retryLater, startServer } from "./http/server.js";
-import { chunkSizeFor, type Header, isHeader, partChar, shownStatus } from "./jobs/header.js";
+import {
+  chunkSizeFor,
+  type Header,
+  isHeader,
+  partChar,
+  shownStatus,
+  undivided,
+} from "./jobs/header.js";
 import type { Log } from "./log.js";
 import { Layout } from "./membership/layout.js";
 import { Membership } from "./membership/membership.js";
@@ -350,7 +357,7 @@
     if (![...this.#types.values()].some((type) => typeFits(spec, type))) {
       return "a task fits no allowed machine type";
     }
-    const times = spec.kind === "service" ? spec.tasks : 1;
+    const times = spec.kind === "array" ? 1 : spec.tasks;
     if (!within({ cpus: spec.cpus * times, gpus: spec.gpus * times }, limit)) {
       return "more than the team's limit";
     }
@@ -372,8 +379,8 @@
     for (let i = 0; i < count; i++) {
       let best = eligible[0]!;
       for (const part of eligible) if (room[part]! > room[best]!) best = part;
-      // Zone rules look at all tasks of a job at once, so one part has all of them.
-      if (spec.oneZone || spec.spread) {
+      // Gangs and zone rules concern all tasks of a job at once, so one part has all of them.
+      if (undivided(spec)) {
         pinned ??= best;
         best = pinned;
       }
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -11,6 +11,7 @@
   type Header,
   isHeader,
   partChar,
+  undivided,
   withOwner,
 } from "../jobs/header.js";
 import type { Log } from "../log.js";
@@ -279,7 +280,14 @@
       machine.touched();
       if (machine.live.size === 0) machine.idleSince = this.ctx.clock.now();
     }
-    if (!completed) job.waitingSince = this.ctx.clock.now();
+    if (completed) return;
+    job.waitingSince = this.ctx.clock.now();
+    // A gang runs whole or not at all: without this task the others only hold their room.
+    if (job.spec.kind === "gang") {
+      for (const other of job.chunks.values()) {
+        for (const mate of other.live.values()) this.#stopLive(mate, job.spec.saveS, "gang");
+      }
+    }
   }
 
   #find(task: string): { job: Job; chunk: Chunk; index: number } | null {
@@ -412,7 +420,7 @@
       }
       return;
     }
-    const completed = task.why === "done" && job.spec.kind === "array";
+    const completed = task.why === "done" && job.spec.kind !== "service";
     if (completed) {
       job.failures = 0;
       machine.failedJobs.clear();
@@ -594,7 +602,7 @@
       }
       const queue = queues.get(team)!;
       const job = queue[0]!;
-      if (this.#placeOne(job, machines, types, tree, now)) continue;
+      if (this.#placeNext(job, machines, types, tree, now)) continue;
       if (this.#hasPending(job)) blocked.push(job);
       queue.shift();
       if (queue.length === 0) queues.delete(team);
@@ -629,7 +637,7 @@
     for (const job of blocked) {
       const { spec } = job;
       const allowedParts = spec.zone === null ? null : this.ctx.partsOf(spec.zone);
-      const pinned = spec.oneZone || spec.spread;
+      const pinned = undivided(spec);
       const idle = [...job.chunks.values()].filter(
         (chunk) => chunk.live.size === 0 && chunk.pending > 0 && chunk.movingTo === null,
       );
@@ -665,8 +673,9 @@
     return false;
   }
 
-  #fitsQuota(spec: JobSpec): boolean {
-    const use = add(this.#use.get(spec.team) ?? ZERO, spec);
+  #fitsQuota(spec: JobSpec, tasks = 1): boolean {
+    const size = { cpus: spec.cpus * tasks, gpus: spec.gpus * tasks };
+    const use = add(this.#use.get(spec.team) ?? ZERO, size);
     const slice = this.#slices.get(spec.team) ?? ZERO;
     if (within(use, slice)) return true;
     const missing = minus(use, slice);
@@ -675,6 +684,69 @@
     return false;
   }
 
+  #placeNext(
+    job: Job,
+    machines: Machine[],
+    types: ReadonlyMap<string, MachineType>,
+    tree: Tree,
+    now: number,
+  ): boolean {
+    if (job.spec.kind !== "gang") return this.#placeOne(job, machines, types, tree, now);
+    const chunks = [...job.chunks.values()];
+    // The former attempt has to be over on all machines before all start once more.
+    if (chunks.some((chunk) => chunk.live.size > 0)) return false;
+    const hosts = this.#gangHosts(job, machines, types);
+    if (hosts === null) return false;
+    for (const chunk of chunks) {
+      for (let index = chunk.nextPending(); index !== null; index = chunk.nextPending()) {
+        this.#place(job, chunk, index, hosts.pop()!, tree, now);
+      }
+    }
+    return true;
+  }
+
+  /** A machine for every waiting task of a gang, or null when not all of them fit at once. */
+  #gangHosts(
+    job: Job,
+    machines: Machine[],
+    types: ReadonlyMap<string, MachineType>,
+  ): Machine[] | null {
+    const { spec } = job;
+    let count = 0;
+    for (const chunk of job.chunks.values()) count += chunk.movingTo === null ? chunk.pending : 0;
+    if (count === 0 || !this.#fitsQuota(spec, count)) return null;
+    const zones = spec.oneZone ? [...new Set(machines.map(({ zone }) => zone))] : [null];
+    for (const zone of zones) {
+      const hosts: Machine[] = [];
+      const perZone = new Map<string, number>();
+      for (const machine of machines) {
+        if (!allowed(spec, machine) || (zone !== null && machine.zone !== zone)) continue;
+        const room = { ...machine.room(types.get(machine.type), this.#specOf) };
+        while (
+          hosts.length < count &&
+          fitsRoom(room, spec) &&
+          zoneAllowed(spec, machine.zone, perZone)
+        ) {
+          give(room, spec, -1);
+          hosts.push(machine);
+          perZone.set(machine.zone, (perZone.get(machine.zone) ?? 0) + 1);
+        }
+      }
+      if (hosts.length === count) return hosts;
+    }
+    return null;
+  }
+
+  #place(job: Job, chunk: Chunk, index: number, machine: Machine, tree: Tree, now: number): void {
+    const { spec } = job;
+    const live = chunk.place(index, machine.id, now);
+    machine.live.set(live.task, live);
+    if (spec.image !== null) machine.images.add(spec.image);
+    machine.touched();
+    this.#charge(spec, 1);
+    tree.charge(spec.team, spec);
+  }
+
   #placeOne(
     job: Job,
     machines: Machine[],
@@ -693,7 +765,11 @@
     }
     if (target === null || !this.#fitsQuota(spec)) return false;
     // A job that keeps failing is tried with one task at a time.
-    if (job.failures > 1 && [...job.chunks.values()].some((chunk) => chunk.live.size > 0))
+    if (
+      job.failures > 1 &&
+      spec.kind !== "gang" &&
+      [...job.chunks.values()].some((chunk) => chunk.live.size > 0)
+    )
       return false;
     const zones = spec.oneZone || spec.spread ? this.#zones(job) : null;
     let best: Machine | null = null;
@@ -711,12 +787,7 @@
       }
     }
     if (best === null) return false;
-    const live = target.chunk.place(target.index, best.id, now);
-    best.live.set(live.task, live);
-    if (spec.image !== null) best.images.add(spec.image);
-    best.touched();
-    this.#charge(spec, 1);
-    tree.charge(spec.team, spec);
+    this.#place(job, target.chunk, target.index, best, tree, now);
     return true;
   }
 
@@ -730,29 +801,45 @@
   ): void {
     // Room that is about to be free, and what this pass has given away of it.
     const rooms = new Map<string, Room>();
-    const victims: (Victim & { live: Live; machine: Machine; spec: JobSpec })[] = [];
+    const victims = new Map<
+      string,
+      Victim & { tasks: { live: Live; machine: Machine }[]; spec: JobSpec }
+    >();
     for (const machine of machines) {
       const room = { ...machine.room(types.get(machine.type), this.#specOf) };
       for (const live of machine.live.values()) {
-        const spec = this.#specOf(live);
-        if (spec === undefined) continue;
-        if (live.stop !== null) give(room, spec, 1);
-        else if (live.seenAt !== null) {
-          victims.push({
-            id: live.task,
+        const found = this.#find(live.task);
+        if (found === null) continue;
+        const {
+          job,
+          job: { spec },
+        } = found;
+        if (live.stop !== null) {
+          give(room, spec, 1);
+          continue;
+        }
+        if (live.seenAt === null) continue;
+        const kept =
+          spec.checkpointS > 0 ? (spec.saveS + spec.checkpointS) * 1000 : Number.POSITIVE_INFINITY;
+        const loss = Math.min(now - live.since, kept);
+        // A gang counts whole, the tasks of an array count singly.
+        const id = spec.kind === "gang" ? job.id : live.task;
+        const known = victims.get(id);
+        if (known === undefined) {
+          const size = { cpus: spec.cpus, gpus: spec.gpus };
+          victims.set(id, {
+            id,
             team: spec.team,
             rank: spec.rank,
-            size: { cpus: spec.cpus, gpus: spec.gpus },
-            loss: Math.min(
-              now - live.since,
-              spec.checkpointS > 0
-                ? (spec.saveS + spec.checkpointS) * 1000
-                : Number.POSITIVE_INFINITY,
-            ),
-            live,
-            machine,
+            size,
+            loss,
+            tasks: [{ live, machine }],
             spec,
           });
+        } else {
+          known.size = add(known.size, spec);
+          known.loss += loss;
+          known.tasks.push({ live, machine });
         }
       }
       rooms.set(machine.id, room);
@@ -760,55 +847,68 @@
     for (const job of blocked) {
       if (now - job.waitingSince < this.ctx.reportMs) continue;
       const { spec } = job;
-      if (!this.#fitsQuota(spec)) continue;
       const hosts = machines.filter((machine) => allowed(spec, machine));
       let pending = 0;
       for (const chunk of job.chunks.values()) pending += chunk.pending;
-      for (; pending > 0; pending--) {
-        const byId = new Map(victims.map((victim) => [victim.id, victim]));
-        const place = (stopped: ReadonlySet<string>): Machine | null => {
+      const together = spec.kind === "gang" ? pending : 1;
+      const size = { cpus: spec.cpus * together, gpus: spec.gpus * together };
+      if (!this.#fitsQuota(spec, together)) continue;
+      for (; pending > 0; pending -= together) {
+        const place = (stopped: ReadonlySet<string>): Machine[] | null => {
           const freed = new Map<string, Room>();
+          const roomOf = (machine: Machine): Room => {
+            let room = freed.get(machine.id);
+            if (room === undefined) {
+              room = { ...rooms.get(machine.id)! };
+              freed.set(machine.id, room);
+            }
+            return room;
+          };
           for (const id of stopped) {
-            const victim = byId.get(id)!;
-            const room = freed.get(victim.machine.id) ?? { ...rooms.get(victim.machine.id)! };
-            give(room, victim.spec, 1);
-            freed.set(victim.machine.id, room);
+            const victim = victims.get(id)!;
+            for (const { machine } of victim.tasks) give(roomOf(machine), victim.spec, 1);
           }
+          const chosen: Machine[] = [];
           for (const machine of hosts) {
-            if (fitsRoom(freed.get(machine.id) ?? rooms.get(machine.id)!, spec)) return machine;
+            while (chosen.length < together && fitsRoom(roomOf(machine), spec)) {
+              give(roomOf(machine), spec, -1);
+              chosen.push(machine);
+            }
+            if (chosen.length === together) return chosen;
           }
           return null;
         };
-        const possible = victims.filter((victim) => victim.live.stop === null);
+        // Stopping work to even out shares must not cost more than the asker has waited.
+        const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs);
         const picks = chooseVictims(
           tree,
-          {
-            team: spec.team,
-            rank: spec.rank,
-            size: spec,
-            // Stopping work to even out shares must not cost more than the asker has waited.
-            patience: Math.max(0, now - job.waitingSince - this.ctx.leaseMs),
-          },
-          possible,
+          { team: spec.team, rank: spec.rank, size, patience },
+          [...victims.values()],
           (stopped) => place(stopped) !== null,
           16,
         );
-        const machine = place(new Set(picks.map(({ victim }) => victim.id)));
-        if (machine === null) break;
-        for (const { victim, reason } of picks) {
-          const chosen = byId.get(victim.id)!;
+        const chosen = place(new Set(picks.map(({ victim }) => victim.id)));
+        if (chosen === null) break;
+        for (const {
+          victim: { id },
+          reason,
+        } of picks) {
+          const victim = victims.get(id)!;
+          victims.delete(id);
           const grace =
-            chosen.spec.checkpointS > 0 ? chosen.spec.saveS + this.ctx.reportMs / 1000 : 0;
-          this.#stopLive(chosen.live, grace, reason);
+            victim.spec.checkpointS > 0 ? victim.spec.saveS + this.ctx.reportMs / 1000 : 0;
+          for (const { live, machine } of victim.tasks) {
+            this.#stopLive(live, grace, reason);
+            give(rooms.get(machine.id)!, victim.spec, 1);
+          }
           tree.charge(victim.team, victim.size, -1);
-          give(rooms.get(chosen.machine.id)!, chosen.spec, 1);
           this.ctx.log.info(
-            { task: victim.id, team: victim.team, for: job.id, asker: spec.team, reason },
+            { task: id, team: victim.team, for: job.id, asker: spec.team, reason },
             "task preempted",
           );
         }
-        give(rooms.get(machine.id)!, spec, -1);
-        tree.charge(spec.team, spec);
+        for (const machine of chosen) give(rooms.get(machine.id)!, spec, -1);
+        tree.charge(spec.team, size);
       }
     }
   }
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -6,11 +6,19 @@
 export type Priority = (typeof PRIORITIES)[number];
 export const MAX_TASKS = 100_000;
 
+/** Independent tasks, replicas until cancelled, or tasks that only run all at the same time. */
+export type Kind = "array" | "service" | "gang";
+const KINDS: Record<"batch" | "service" | "ensemble", Kind> = {
+  batch: "array",
+  service: "service",
+  ensemble: "gang",
+};
+
 /** What a user asks for, in the terms of this code. Also what the store keeps. */
 export interface JobSpec {
   class: string;
   team: string;
-  kind: "array" | "service";
+  kind: Kind;
   /** Index into PRIORITIES. */
   rank: number;
   tasks: number;
@@ -46,7 +54,7 @@
   uid: z.string().regex(JOB_ID, "not a job id"),
   eidos: name,
   owner: name,
-  shape: z.enum(["batch", "service"]),
+  shape: z.enum(["batch", "service", "ensemble"]),
   urgency: z.enum(PRIORITIES),
   pieces: count,
   cores: amount,
@@ -82,7 +90,7 @@
       spec: {
         class: job.eidos,
         team: job.owner,
-        kind: job.shape === "batch" ? "array" : "service",
+        kind: KINDS[job.shape],
         rank: PRIORITIES.indexOf(job.urgency),
         tasks: job.pieces,
         cpus: job.cores,
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { chooseVictims, mayStop, type Victim } from "../src/fair/preempt.js";
-import { ROOT, Tree, compareShares, flatTree } from "../src/fair/share.js";
+import { compareShares, flatTree, ROOT, Tree } from "../src/fair/share.js";
 
 const cpus = (n: number) => ({ cpus: n, gpus: 0 });
 
@@ -68,11 +68,27 @@
 });
 
 const stopCases = [
-  { name: "S1: under guarantee, from a borrower", x: 10, y: 30, z: 0, size: 4, v: 2, want: "reclaim" },
+  {
+    name: "S1: under guarantee, from a borrower",
+    x: 10,
+    y: 30,
+    z: 0,
+    size: 4,
+    v: 2,
+    want: "reclaim",
+  },
   { name: "not from one within its guarantee", x: 10, y: 20, z: 0, size: 4, v: 2, want: null },
   { name: "S2-a: the borrower stays above", x: 20, y: 30, z: 0, size: 2, v: 2, want: "fair" },
   { name: "S2-a: equal afterwards is enough", x: 20, y: 24, z: 0, size: 2, v: 2, want: "fair" },
-  { name: "S2-b: one huge task strictly above", x: 20, y: 30, z: 0, size: 2, v: 10, want: "greedy" },
+  {
+    name: "S2-b: one huge task strictly above",
+    x: 20,
+    y: 30,
+    z: 0,
+    size: 2,
+    v: 10,
+    want: "greedy",
+  },
   { name: "not when the asker would be above", x: 28, y: 30, z: 0, size: 4, v: 2, want: null },
 ];
 for (const c of stopCases) {
