Controllers talk to each other; read job headers from one place only

Ruled out: reports taken for newer than they are (the attempts were placed by two owners). The header is now always what the mirror of the store holds. An unanswered lowering of a quota slice counts as lowered until its key moves on. Also: summaries travel between controllers over frames of their own, so that waiting work and free room are known within a second instead of five.

--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -1,7 +1,7 @@
 import { type Clock, sleep } from "../clock.js";
 import type { HttpClient } from "../http/client.js";
 import type { Log } from "../log.js";
-import { isSummary, type Need, type Summary } from "../part/summary.js";
+import type { Need, Summaries, Summary } from "../part/summary.js";
 import { Budget } from "../state/budget.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
@@ -11,7 +11,7 @@
 
 export interface FleetContext {
   token: number;
-  parts: number;
+  summaries: Summaries;
   http: HttpClient;
   store: Store;
   mirror: Mirror;
@@ -81,20 +81,11 @@
     return answer;
   }
 
-  #summaries(): Summary[] {
-    const all: Summary[] = [];
-    for (let part = 0; part < this.ctx.parts; part++) {
-      const value = this.ctx.mirror.rows.get(keys.summary(part))?.value;
-      if (isSummary(value)) all.push(value);
-    }
-    return all;
-  }
-
   async #step(): Promise<void> {
     const now = this.ctx.clock.now();
     if (this.#types.size === 0 || now - this.#typesAt > 30_000) await this.#readTypes();
     if (now - this.#listAt > this.ctx.listLagMs / 4) await this.#readList();
-    const summaries = this.#summaries();
+    const summaries = this.ctx.summaries.all().map(([, summary]) => summary);
     for (const { machines } of summaries) for (const id of machines) this.#heard.set(id, now);
     await this.#giveBack(summaries);
     await this.#rent(summaries);
--- a/src/node.ts
+++ b/src/node.ts
@@ -17,7 +17,8 @@
 import { Layout } from "./membership/layout.js";
 import { Membership } from "./membership/membership.js";
 import { Part } from "./part/part.js";
-import { isSummary } from "./part/summary.js";
+import { isSummary, Summaries, type Summary } from "./part/summary.js";
+import { Mesh } from "./peer/mesh.js";
 import { clusterOf, type Settings } from "./settings/settings.js";
 import { keys } from "./state/keys.js";
 import { Mirror } from "./state/mirror.js";
@@ -43,6 +44,8 @@
   readonly #mirror: Mirror;
   readonly #membership: Membership;
   readonly #cloud: HttpClient;
+  readonly #mesh: Mesh;
+  readonly #summaries = new Summaries();
   readonly #parts = new Map<number, Part>();
   readonly #limits: Map<string, Amounts>;
   #types = new Map<string, MachineType>();
@@ -106,6 +109,20 @@
     this.#mirror.on("w/g/", ({ key }) => {
       for (const owner of this.#parts.values()) owner.tell({ kind: "gone", machine: key.slice(4) });
     });
+    this.#mirror.on("w/s/", ({ key, value }) => {
+      if (isSummary(value)) this.#hear(Number(key.slice(4)), value);
+    });
+    this.#mesh = new Mesh(
+      settings.node_name,
+      settings.cluster_listen,
+      cluster.filter(({ name }) => name !== settings.node_name),
+      clock,
+      log,
+      (params.workers.lease_s * 1000) / 12,
+      (frame) => {
+        if (frame.kind === "summary") this.#hear(frame.part, frame.summary);
+      },
+    );
     this.#mirror.on(keys.types, ({ value }) => {
       if (!Array.isArray(value)) return;
       this.#types = new Map((value as MachineType[]).map((type) => [type.name, type]));
@@ -119,6 +136,7 @@
       this.#log,
       Math.floor(this.#settings.params.quota.max_sockets * 0.9),
     );
+    await this.#mesh.start();
     void this.#mirror.run();
     this.#membership.start();
     this.#watchReach();
@@ -134,6 +152,17 @@
     this.#server?.close();
     this.#server?.closeAllConnections();
     this.#cloud.close();
+    this.#mesh.stop();
+  }
+
+  #hear(part: number, summary: Summary): void {
+    this.#summaries.offer(part, summary);
+    // Its owner speaks with a newer token than ours: we have been replaced, and out of touch.
+    const token = this.#membership.owned.get(part);
+    if (token !== undefined && summary.token > token) {
+      this.#membership.owned.delete(part);
+      this.#lost(part, "another owner speaks");
+    }
   }
 
   /** Steps back while those outside do not reach us, though the state service does. */
@@ -170,7 +199,6 @@
         const part = new Part(
           {
             index,
-            parts: this.#layout.parts,
             token,
             store: this.#store,
             mirror: this.#mirror,
@@ -181,6 +209,11 @@
             newTree: () => flatTree(params.teams),
             partsOf: (zone) => this.#layout.partsOf(zone),
             limits: this.#limits,
+            summaries: this.#summaries,
+            announce: (summary) => {
+              this.#hear(index, summary);
+              this.#mesh.broadcast({ kind: "summary", part: index, summary });
+            },
             reportMs: params.workers.report_s * 1000,
             leaseMs: params.workers.lease_s * 1000,
             cancelMs: params.workers.cancel_s * 1000,
@@ -214,7 +247,7 @@
     this.#log.info({ token }, "leading");
     this.#fleet = new Fleet({
       token,
-      parts: this.#layout.parts,
+      summaries: this.#summaries,
       http: this.#cloud,
       store: this.#store,
       mirror: this.#mirror,
@@ -370,8 +403,8 @@
     const chunkSize = chunkSizeFor(spec.tasks, parts, this.#store.limits.valueBytes);
     const count = Math.ceil(spec.tasks / chunkSize);
     const room = Array.from({ length: parts }, (_, part) => {
-      const value = this.#mirror.rows.get(keys.summary(part))?.value;
-      return isSummary(value) ? value.free - value.waiting : 0;
+      const summary = this.#summaries.of(part);
+      return summary === undefined ? 0 : summary.free - summary.waiting;
     });
     let owners = "";
     const eligible = spec.zone === null ? [...room.keys()] : this.#layout.partsOf(spec.zone);
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -1,7 +1,15 @@
 import { Actor } from "../actor.js";
 import type { Clock } from "../clock.js";
 import { chooseVictims, type Victim } from "../fair/preempt.js";
-import { type Amounts, add, compareShares, minus, type Tree, within } from "../fair/share.js";
+import {
+  type Amounts,
+  add,
+  compareShares,
+  EPSILON,
+  minus,
+  type Tree,
+  within,
+} from "../fair/share.js";
 import type { Reply } from "../http/server.js";
 import { Chunk, isChunkRecord, type Live } from "../jobs/chunk.js";
 import {
@@ -30,11 +38,10 @@
 import type { JobSpec } from "../wire/jobs.js";
 import * as wire from "../wire/workers.js";
 import { allowed, fitsRoom, Machine, type Room, zoneAllowed } from "../workers/machine.js";
-import { isSummary, type Need, type Summary } from "./summary.js";
+import type { Need, Summaries, Summary } from "./summary.js";
 
 export interface PartContext {
   index: number;
-  parts: number;
   token: number;
   store: Store;
   mirror: Mirror;
@@ -47,6 +54,9 @@
   /** Parts whose machines may be in a zone. */
   partsOf(zone: string): number[];
   limits: ReadonlyMap<string, Amounts>;
+  summaries: Summaries;
+  /** Tells the other controllers, and our own, how this part stands. */
+  announce(summary: Summary): void;
   reportMs: number;
   leaseMs: number;
   cancelMs: number;
@@ -61,18 +71,30 @@
   | { kind: "moved"; job: string; chunk: number; row: Row | null }
   | { kind: "tick" }
   | { kind: "committed"; batch: Batch; revision: number }
-  | { kind: "refused"; batch: Batch; failed: Row[]; missing: string[] }
+  | { kind: "refused"; batch: Batch; failed: Row[]; missing: string[]; late: boolean }
   | { kind: "stop" };
 
-interface Job {
-  id: string;
-  header: Header;
-  spec: JobSpec;
-  chunks: Map<number, Chunk>;
+class Job {
+  readonly chunks = new Map<number, Chunk>();
   /** Failures in a row, on whatever machine. */
-  failures: number;
-  notBefore: number;
-  waitingSince: number;
+  failures = 0;
+  notBefore = 0;
+
+  constructor(
+    readonly id: string,
+    readonly spec: JobSpec,
+    readonly mirror: Mirror,
+    public waitingSince: number,
+  ) {}
+
+  /**
+   * Always what the mirror has, together with its version. A copy of our own once went back to
+   * our last commit when its answer came after news of a later one; written on condition of that
+   * later version it undid a move, and a chunk had two owners.
+   */
+  get header(): Header {
+    return this.mirror.rows.get(keys.job(this.id))!.value as Header;
+  }
 }
 
 /** One transaction on its way. */
@@ -81,7 +103,7 @@
   changes: Change[];
   saves: { chunk: Chunk; version: number; deletes: boolean; moves: boolean }[];
   headers: { id: string; header: Header }[];
-  slices: { team: string; before: Amounts; record: SliceRecord }[];
+  slices: { team: string; version: number; record: SliceRecord }[];
 }
 
 const ZERO: Amounts = { cpus: 0, gpus: 0 };
@@ -96,16 +118,19 @@
   readonly #loading = new Set<string>();
   /** Committed slices; what a lowering in flight gives up is no longer counted. */
   readonly #slices = new Map<string, Amounts>();
+  readonly #doubts = new Map<string, { version: number; slice: Amounts }>();
   readonly #use = new Map<string, Amounts>();
   /** CPUs of chunks given to other parts since their last summary. */
-  readonly #sent = new Map<number, { version: number; cpus: number }>();
+  readonly #sent = new Map<number, { summary: Summary; cpus: number }>();
   readonly #short = new Map<string, Amounts>();
   #saving = false;
   #retryAt = 0;
   #tickAt = 0;
   #timerSet = false;
   #summaryAt = 0;
-  #lastWaiting = 0;
+  #sentAt = 0;
+  #lastState = "";
+  #summaries = 0;
 
   constructor(
     readonly ctx: PartContext,
@@ -162,6 +187,7 @@
         this.#onCommitted(message.batch, message.revision);
         break;
       case "refused":
+        if (message.late) this.#doubt(message.batch);
         this.#onRefused(message.batch, message.failed, message.missing);
         break;
       case "stop":
@@ -174,10 +200,6 @@
 
   #onHeader(id: string, header: Header): void {
     const job = this.jobs.get(id);
-    if (job !== undefined) {
-      job.header = header;
-      if (header.spec !== undefined) job.spec = header.spec;
-    }
     this.#takeIn(id, header, null);
     if (header.status === "cancelled" && job !== undefined) this.#cancel(job);
     this.#soon(0);
@@ -191,15 +213,7 @@
     if (!header.owners.includes(mine)) return;
     let job = this.jobs.get(id);
     if (job === undefined) {
-      job = {
-        id,
-        header,
-        spec: header.spec,
-        chunks: new Map(),
-        failures: 0,
-        notBefore: 0,
-        waitingSince: this.ctx.clock.now(),
-      };
+      job = new Job(id, header.spec, this.ctx.mirror, this.ctx.clock.now());
       this.jobs.set(id, job);
     }
     for (let i = 0; i < header.owners.length; i++) {
@@ -537,11 +551,9 @@
 
   #othersUse(): Map<string, Amounts> {
     const sum = new Map<string, Amounts>();
-    for (let part = 0; part < this.ctx.parts; part++) {
+    for (const [part, summary] of this.ctx.summaries.all()) {
       if (part === this.ctx.index) continue;
-      const value = this.ctx.mirror.rows.get(keys.summary(part))?.value;
-      if (!isSummary(value)) continue;
-      for (const [team, [cpus, gpus]] of Object.entries(value.use)) {
+      for (const [team, [cpus, gpus]] of Object.entries(summary.use)) {
         sum.set(team, add(sum.get(team) ?? ZERO, { cpus, gpus }));
       }
     }
@@ -623,15 +635,14 @@
     }
     let waiting = this.#totalWaiting();
     const others: { part: number; load: number; capacity: number; sent: { cpus: number } }[] = [];
-    for (let part = 0; part < this.ctx.parts; part++) {
-      const row = this.ctx.mirror.rows.get(keys.summary(part));
-      if (part === this.ctx.index || !isSummary(row?.value)) continue;
+    for (const [part, summary] of this.ctx.summaries.all()) {
+      if (part === this.ctx.index) continue;
       let sent = this.#sent.get(part);
-      if (sent === undefined || sent.version !== row.version) {
-        sent = { version: row.version, cpus: 0 };
+      if (sent === undefined || sent.summary !== summary) {
+        sent = { summary, cpus: 0 };
         this.#sent.set(part, sent);
       }
-      const { waiting: theirs, free: room, capacity: size } = row.value;
+      const { waiting: theirs, free: room, capacity: size } = summary;
       if (size > 0) others.push({ part, load: theirs - room + sent.cpus, capacity: size, sent });
     }
     for (const job of blocked) {
@@ -963,15 +974,21 @@
       }
       const next = reslice(record, index, wanted, limit);
       const after = sliceOf(next, index);
-      if (Math.abs(after.cpus - own.cpus) < 1e-6 && Math.abs(after.gpus - own.gpus) < 1e-6) {
+      const version = row?.version ?? 0;
+      const doubt = this.#doubts.get(team);
+      if (doubt !== undefined && doubt.version !== version) this.#doubts.delete(team);
+      const sure = doubt?.version === version ? smaller(own, doubt.slice) : own;
+      const same =
+        Math.abs(after.cpus - own.cpus) < EPSILON && Math.abs(after.gpus - own.gpus) < EPSILON;
+      if (same && sure === own) {
         this.#slices.set(team, own);
         continue;
       }
       // Until the answer is known, only what is ours in either case counts.
-      this.#slices.set(team, smaller(own, after));
-      batch.when.push({ key, version: row?.version ?? 0 });
+      this.#slices.set(team, smaller(sure, after));
+      batch.when.push({ key, version });
       batch.changes.push({ put: key, value: next });
-      batch.slices.push({ team, before: own, record: next });
+      batch.slices.push({ team, version, record: next });
       bytes += 64 + JSON.stringify(next).length;
     }
     for (const job of this.jobs.values()) {
@@ -1053,22 +1070,36 @@
   }
 
   #wantedElsewhere(team: string): boolean {
-    for (let part = 0; part < this.ctx.parts; part++) {
-      if (part === this.ctx.index) continue;
-      const value = this.ctx.mirror.rows.get(keys.summary(part))?.value;
-      if (isSummary(value) && value.short[team] !== undefined) return true;
+    return this.ctx.summaries
+      .all()
+      .some(([part, { short }]) => part !== this.ctx.index && short[team] !== undefined);
+  }
+
+  /**
+   * No answer came, so a slice that was to be lowered may yet be lowered, at any time: until its
+   * key has a newer version than the one that change depends on, only the smaller slice is ours.
+   */
+  #doubt(batch: Batch): void {
+    for (const { team, version, record } of batch.slices) {
+      const known = this.#doubts.get(team);
+      const slice = sliceOf(record, this.ctx.index);
+      this.#doubts.set(team, {
+        version,
+        slice: known?.version === version ? smaller(known.slice, slice) : slice,
+      });
     }
-    return false;
   }
 
   async #commit(batch: Batch): Promise<void> {
     const { store, clock, log } = this.ctx;
+    let late = true;
     try {
       const result = await store.transact(batch.when, batch.changes);
       if (result.ok) {
         this.tell({ kind: "committed", batch, revision: result.revision });
         return;
       }
+      late = false;
       if (result.failed.includes(keys.claim(this.ctx.index))) {
         this.ctx.lost("claim changed");
         return;
@@ -1080,7 +1111,7 @@
         await new Promise<void>((resolve) => {
           clock.after(this.ctx.reportMs / 10, resolve);
         });
-        this.tell({ kind: "refused", batch, failed: [], missing: [] });
+        this.tell({ kind: "refused", batch, failed: [], missing: [], late: false });
         return;
       }
     }
@@ -1095,7 +1126,7 @@
           if (row === null) missing.push(key);
           else failed.push(row);
         }
-        this.tell({ kind: "refused", batch, failed, missing });
+        this.tell({ kind: "refused", batch, failed, missing, late });
         return;
       } catch {
         await new Promise<void>((resolve) => {
@@ -1116,8 +1147,6 @@
       this.#apply(keys.quota(team), record, revision);
     }
     for (const { id, header } of batch.headers) {
-      const job = this.jobs.get(id);
-      if (job !== undefined) job.header = header;
       this.#apply(keys.job(id), header, revision);
       if (header.status === "done") this.ctx.log.info({ job: id }, "job done");
     }
@@ -1162,14 +1191,19 @@
 
   #summarize(): void {
     const now = this.ctx.clock.now();
+    const { index, token, store, reportMs } = this.ctx;
+    // The other controllers hear of changes at once, if they can be reached.
     const waiting = this.#totalWaiting();
-    // Every 5 s, and earlier, though not more than once a second, when much has changed.
-    const urgent = Math.abs(waiting - this.#lastWaiting) > 0.25 * Math.max(4, this.#lastWaiting);
-    if (now - this.#summaryAt < (urgent ? 1000 : 5000)) return;
-    if (!this.ctx.store.writes.take(1, 2)) return;
+    const state = `${waiting}/${this.#short.size}/${this.#useTotal()}`;
+    const changed = state !== this.#lastState;
+    if (now - this.#sentAt >= (changed ? reportMs / 8 : reportMs)) {
+      this.#sentAt = now;
+      this.#lastState = state;
+      this.ctx.announce(this.summary());
+    }
+    // The store gets one every 5 s (DESIGN): for whoever is cut off from us, and the next leader.
+    if (now - this.#summaryAt < 5000 || !store.writes.take(1, 2)) return;
     this.#summaryAt = now;
-    this.#lastWaiting = waiting;
-    const { index, token, store } = this.ctx;
     store
       .transact(
         [{ key: keys.claim(index), version: token }],
@@ -1178,6 +1212,12 @@
       .catch(() => undefined);
   }
 
+  #useTotal(): number {
+    let sum = 0;
+    for (const { cpus, gpus } of this.#use.values()) sum += cpus + gpus;
+    return sum;
+  }
+
   #totalWaiting(): number {
     let sum = 0;
     for (const job of this.jobs.values()) {
@@ -1232,6 +1272,7 @@
       retired,
       idle,
       token: this.ctx.token,
+      seq: ++this.#summaries,
     };
   }
 }
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -18,6 +18,8 @@
   /** Machines without tasks, with seconds idle. */
   idle: Record<string, number>;
   token: number;
+  /** Counts the summaries of one owner. */
+  seq: number;
 }
 
 export interface Need {
@@ -33,3 +35,27 @@
 export function isSummary(value: unknown): value is Summary {
   return typeof value === "object" && value !== null && "use" in value && "need" in value;
 }
+
+/** The newest summary of every part, from the store or from its owner directly. */
+export class Summaries {
+  readonly #newest = new Map<number, Summary>();
+
+  offer(part: number, summary: Summary): void {
+    const known = this.#newest.get(part);
+    if (
+      known !== undefined &&
+      (known.token > summary.token || (known.token === summary.token && known.seq >= summary.seq))
+    ) {
+      return;
+    }
+    this.#newest.set(part, summary);
+  }
+
+  of(part: number): Summary | undefined {
+    return this.#newest.get(part);
+  }
+
+  all(): [number, Summary][] {
+    return [...this.#newest];
+  }
+}
--- /dev/null
+++ b/src/peer/frames.ts
@@ -0,0 +1,234 @@
+import type { Need, Summary } from "../part/summary.js";
+
+/**
+ * What controllers send each other, laid out by hand:
+ *
+ *   u32 length of what follows | u8 kind | payload
+ *
+ * Numbers are big-endian; a text is a u16 length and UTF-8; a list is a u32 count and its items.
+ */
+export const MAX_FRAME = 1024 * 1024;
+export const VERSION = 1;
+/** Says which version the sender speaks; another one ends the connection. */
+const KIND_HELLO = 1;
+const KIND_SUMMARY = 2;
+
+export type Frame =
+  | { kind: "hello"; version: number; node: string }
+  | { kind: "summary"; part: number; summary: Summary };
+
+export class FrameError extends Error {}
+
+class Writer {
+  #buffer = Buffer.allocUnsafe(1024);
+  #at = 4;
+
+  #room(n: number): number {
+    const at = this.#at;
+    if (at + n > this.#buffer.length) {
+      const larger = Buffer.allocUnsafe(Math.max(at + n, this.#buffer.length * 2));
+      this.#buffer.copy(larger, 0, 0, at);
+      this.#buffer = larger;
+    }
+    this.#at = at + n;
+    return at;
+  }
+
+  u8(value: number): void {
+    const at = this.#room(1);
+    this.#buffer.writeUInt8(value, at);
+  }
+
+  u32(value: number): void {
+    const at = this.#room(4);
+    this.#buffer.writeUInt32BE(value, at);
+  }
+
+  f64(value: number): void {
+    const at = this.#room(8);
+    this.#buffer.writeDoubleBE(value, at);
+  }
+
+  text(value: string): void {
+    const size = Buffer.byteLength(value);
+    if (size > 0xffff) throw new FrameError("text too long");
+    const at = this.#room(2 + size);
+    this.#buffer.writeUInt16BE(size, at);
+    this.#buffer.write(value, at + 2);
+  }
+
+  list<T>(items: readonly T[], write: (item: T) => void): void {
+    this.u32(items.length);
+    for (const item of items) write(item);
+  }
+
+  finish(): Buffer {
+    this.#buffer.writeUInt32BE(this.#at - 4, 0);
+    return this.#buffer.subarray(0, this.#at);
+  }
+}
+
+class Reader {
+  #at = 0;
+
+  constructor(readonly buffer: Buffer) {}
+
+  #take(n: number): number {
+    const at = this.#at;
+    if (at + n > this.buffer.length) throw new FrameError("frame too short");
+    this.#at = at + n;
+    return at;
+  }
+
+  u8(): number {
+    return this.buffer.readUInt8(this.#take(1));
+  }
+
+  u32(): number {
+    return this.buffer.readUInt32BE(this.#take(4));
+  }
+
+  f64(): number {
+    const value = this.buffer.readDoubleBE(this.#take(8));
+    if (!Number.isFinite(value)) throw new FrameError("not a finite number");
+    return value;
+  }
+
+  text(): string {
+    const size = this.buffer.readUInt16BE(this.#take(2));
+    const at = this.#take(size);
+    return this.buffer.toString("utf8", at, at + size);
+  }
+
+  list<T>(read: () => T): T[] {
+    const count = this.u32();
+    // Every item takes a byte at least, so a made-up count cannot make us allocate much.
+    if (count > this.buffer.length) throw new FrameError("list too long");
+    const items: T[] = [];
+    for (let i = 0; i < count; i++) items.push(read());
+    return items;
+  }
+
+  end(): void {
+    if (this.#at !== this.buffer.length) throw new FrameError("frame too long");
+  }
+}
+
+const SPOT = 1;
+const HAS_TYPES = 2;
+const HAS_ZONE = 4;
+
+function writeNeed(out: Writer, need: Need): void {
+  out.f64(need.cpus);
+  out.f64(need.gpus);
+  out.f64(need.memGb);
+  out.u8(
+    (need.spot ? SPOT : 0) |
+      (need.types === null ? 0 : HAS_TYPES) |
+      (need.zone === null ? 0 : HAS_ZONE),
+  );
+  if (need.types !== null) out.list(need.types, (type) => out.text(type));
+  if (need.zone !== null) out.text(need.zone);
+  out.u32(need.count);
+}
+
+function readNeed(from: Reader): Need {
+  const cpus = from.f64();
+  const gpus = from.f64();
+  const memGb = from.f64();
+  const flags = from.u8();
+  const types = (flags & HAS_TYPES) === 0 ? null : from.list(() => from.text());
+  const zone = (flags & HAS_ZONE) === 0 ? null : from.text();
+  return { cpus, gpus, memGb, spot: (flags & SPOT) !== 0, types, zone, count: from.u32() };
+}
+
+const writePairs = (out: Writer, pairs: Record<string, [number, number]>): void =>
+  out.list(Object.entries(pairs), ([name, [cpus, gpus]]) => {
+    out.text(name);
+    out.f64(cpus);
+    out.f64(gpus);
+  });
+
+function readPairs(from: Reader): Record<string, [number, number]> {
+  const read = (): [string, [number, number]] => [from.text(), [from.f64(), from.f64()]];
+  return Object.fromEntries(from.list(read));
+}
+
+export function encodeFrame(frame: Frame): Buffer {
+  const out = new Writer();
+  if (frame.kind === "hello") {
+    out.u8(KIND_HELLO);
+    out.u32(frame.version);
+    out.text(frame.node);
+    return out.finish();
+  }
+  const { part, summary } = frame;
+  out.u8(KIND_SUMMARY);
+  out.u32(part);
+  out.f64(summary.token);
+  out.f64(summary.seq);
+  out.f64(summary.free);
+  out.f64(summary.capacity);
+  out.f64(summary.waiting);
+  writePairs(out, summary.use);
+  writePairs(out, summary.short);
+  out.list(summary.need, (need) => writeNeed(out, need));
+  out.list(summary.machines, (id) => out.text(id));
+  out.list(summary.retired, (id) => out.text(id));
+  out.list(Object.entries(summary.idle), ([id, seconds]) => {
+    out.text(id);
+    out.f64(seconds);
+  });
+  return out.finish();
+}
+
+/**
+ * Decodes one frame, without its length; null for a kind that only a newer version knows. Throws
+ * FrameError on anything else that is unexpected.
+ */
+export function decodeFrame(payload: Buffer): Frame | null {
+  const from = new Reader(payload);
+  const kind = from.u8();
+  if (kind === KIND_HELLO) {
+    const frame: Frame = { kind: "hello", version: from.u32(), node: from.text() };
+    from.end();
+    return frame;
+  }
+  if (kind !== KIND_SUMMARY) return null;
+  const part = from.u32();
+  const token = from.f64();
+  const seq = from.f64();
+  const free = from.f64();
+  const capacity = from.f64();
+  const waiting = from.f64();
+  const use = readPairs(from);
+  const short = readPairs(from);
+  const need = from.list(() => readNeed(from));
+  const machines = from.list(() => from.text());
+  const retired = from.list(() => from.text());
+  const idle = Object.fromEntries(from.list((): [string, number] => [from.text(), from.f64()]));
+  from.end();
+  return {
+    kind: "summary",
+    part,
+    summary: { token, seq, free, capacity, waiting, use, short, need, machines, retired, idle },
+  };
+}
+
+/** Cuts a stream of bytes into frames. */
+export class FrameCutter {
+  #held: Buffer = Buffer.alloc(0);
+
+  push(bytes: Buffer): Buffer[] {
+    this.#held = this.#held.length === 0 ? bytes : Buffer.concat([this.#held, bytes]);
+    const frames: Buffer[] = [];
+    while (this.#held.length >= 4) {
+      const size = this.#held.readUInt32BE(0);
+      if (size === 0 || size > MAX_FRAME) throw new FrameError(`frame of ${size} bytes`);
+      if (this.#held.length < 4 + size) break;
+      frames.push(this.#held.subarray(4, 4 + size));
+      this.#held = this.#held.subarray(4 + size);
+    }
+    return frames;
+  }
+}
