--- a/src/wire/cbor.ts
+++ b/src/wire/cbor.ts
@@ -1,20 +1,17 @@
-import { Encoder } from "cbor-x";
+import { decode as decodeOne, encode as encodeOne } from "cborg";
 
-// Plain maps only: no records, no shared structures, nothing that other CBOR readers lack.
-const coder = new Encoder({
-  useRecords: false,
-  mapsAsObjects: true,
-  tagUint8Array: false,
-  variableMapSize: true,
-});
+// Receivers know maps keyed by text, lists, text, numbers, booleans and null, nothing else.
+const ENCODE = { ignoreUndefinedProperties: true };
+const DECODE = { allowUndefined: false, allowNaN: false, allowInfinity: false };
 
 export function encode(value: unknown): Buffer {
-  return Buffer.from(coder.encode(value));
+  const bytes = encodeOne(value, ENCODE);
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
 
-/** Throws on anything that is not exactly one CBOR value. */
+/** Throws on anything that is not exactly one CBOR value. Integers beyond 2^53 become bigints. */
 export function decode(body: Uint8Array): unknown {
-  return coder.decode(body);
+  return decodeOne(body, DECODE);
 }
 
 export function isMap(value: unknown): value is Record<string, unknown> {
@@ -22,6 +19,6 @@
     typeof value === "object" &&
     value !== null &&
     !Array.isArray(value) &&
-    (Object.getPrototypeOf(value) === Object.prototype || Object.getPrototypeOf(value) === null)
+    !(value instanceof Uint8Array)
   );
 }
