--- a/src/jobs/chunk.ts
+++ b/src/jobs/chunk.ts
@@ -47,6 +47,8 @@
     readonly index: number,
     readonly first: number,
     readonly size: number,
+    /** When this owner got it. */
+    readonly since: number,
   ) {
     this.done = new Uint8Array(size);
   }
--- a/src/node.ts
+++ b/src/node.ts
@@ -358,7 +358,7 @@
           const known = await this.#current(id);
           if (known === null) return { status: 422, body: { error: never } };
         } else {
-          if (!this.#store.writes.take(0, 1)) return retryLater(429, "too many changes");
+          if (!this.#store.writes.take(1)) return retryLater(429, "too many changes");
           const header = this.#newHeader(spec);
           const result = await this.#store.transact(
             [{ key: keys.job(id), version: 0 }],
@@ -474,6 +474,7 @@
         if (header.status !== "open") {
           return { status: 200, body: statusBody(id, header.status) };
         }
+        if (!this.#store.writes.take(1)) return retryLater(429, "too many changes");
         const next: Header = { ...header, status: "cancelled" };
         const result = await this.#store.transact(
           [{ key: keys.job(id), version }],
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -257,8 +257,8 @@
   #adopt(job: Job, index: number, row: Row | null): void {
     const first = index * job.header.chunkSize;
     const size = Math.min(job.header.chunkSize, job.header.tasks - first);
-    const chunk = new Chunk(job.id, index, first, size);
     const now = this.ctx.clock.now();
+    const chunk = new Chunk(job.id, index, first, size, now);
     if (row !== null && isChunkRecord(row.value)) {
       chunk.load(row.value, row.version, now);
       for (const live of chunk.live.values()) {
@@ -620,12 +620,18 @@
       if (queue.length === 0) queues.delete(team);
     }
     if (blocked.length === 0) return;
+    // Where there is room elsewhere, nothing has to be stopped here.
+    this.#balance(blocked, machines, types, now);
     this.#preempt(blocked, machines, types, tree, now);
-    this.#balance(blocked, machines, types);
   }
 
   /** Hands chunks that find no room here to parts that are less pressed. */
-  #balance(blocked: Job[], machines: Machine[], types: ReadonlyMap<string, MachineType>): void {
+  #balance(
+    blocked: Job[],
+    machines: Machine[],
+    types: ReadonlyMap<string, MachineType>,
+    now: number,
+  ): void {
     let free = 0;
     let capacity = 0;
     for (const machine of machines) {
@@ -657,13 +663,15 @@
         const cpus = group.reduce((sum, chunk) => sum + chunk.pending * spec.cpus, 0);
         if (cpus === 0) continue;
         let best: (typeof others)[number] | null = null;
-        let least = capacity > 0 ? (waiting - free) / capacity : Number.POSITIVE_INFINITY;
+        const pressure = capacity > 0 ? (waiting - free) / capacity : Number.POSITIVE_INFINITY;
+        // To a part that is full as well only when it is clearly less pressed, and not soon
+        // again: summaries are a little old, and chunks would travel to and fro.
+        const settled = group.every((chunk) => now - chunk.since > this.ctx.leaseMs / 2);
+        let least = settled ? Math.max(0, pressure - 0.25) : 0;
         for (const other of others) {
           if (allowedParts !== null && !allowedParts.includes(other.part)) continue;
-          // After the move it must still be less pressed than we are now, with its summary's age
-          // in mind; otherwise chunks would travel back and forth.
           const after = (other.load + cpus) / other.capacity;
-          if (after < least) {
+          if (after <= least) {
             least = after;
             best = other;
           }
@@ -860,7 +868,10 @@
       const { spec } = job;
       const hosts = machines.filter((machine) => allowed(spec, machine));
       let pending = 0;
-      for (const chunk of job.chunks.values()) pending += chunk.pending;
+      for (const chunk of job.chunks.values()) {
+        if (chunk.movingTo === null) pending += chunk.pending;
+      }
+      if (pending === 0) continue;
       const together = spec.kind === "gang" ? pending : 1;
       const size = { cpus: spec.cpus * together, gpus: spec.gpus * together };
       if (!this.#fitsQuota(spec, together)) continue;
@@ -890,7 +901,7 @@
           return null;
         };
         // Stopping work to even out shares must not cost more than the asker has waited.
-        const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs);
+        const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs) / 4;
         const picks = chooseVictims(
           tree,
           { team: spec.team, rank: spec.rank, size, patience },
@@ -931,7 +942,8 @@
     if (this.#saving || now < this.#retryAt) return;
     const batch = this.#collect();
     if (batch.changes.length === 0) return;
-    if (!this.ctx.store.writes.take(batch.changes.length)) {
+    // Users' submissions and cancellations come first: they are few.
+    if (!this.ctx.store.writes.take(batch.changes.length, this.ctx.store.writes.burst / 4)) {
       this.#soon(this.ctx.reportMs / 10);
       return;
     }
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -98,7 +98,6 @@
   }
 
   async transact(when: wire.Condition[], then: wire.Change[]): Promise<TxnResult> {
-    this.writes.force(then.length);
     const answer = await this.#call(
       "POST",
       wire.paths.transaction,
