A job that is being served does not count as waiting

Cause: a large job waited since its submission even while its tasks were started, so it could always stop others.

--- a/src/fair/preempt.ts
+++ b/src/fair/preempt.ts
@@ -15,10 +15,12 @@
   team: string;
   rank: number;
   size: Amounts;
+  /** It fits into its team's guarantee: priorities and guarantees then work without delay. */
+  entitled: boolean;
   /**
-   * Evening out shares (S2) may destroy this much work of one victim, in the unit of its `loss`.
-   * KEP-1714 asks for a minimum run time and a delay against churn ("Risks and Mitigations");
-   * this is both in one. Guarantees (S1) and priorities do not wait for it.
+   * Otherwise one victim may lose this much work at most, in the unit of its `loss`, and a
+   * quarter of it where shares are evened out (S2). KEP-1714 asks for a minimum run time and a
+   * delay against churn ("Risks and Mitigations"); this is both in one.
    */
   patience: number;
 }
@@ -35,7 +37,10 @@
  * `greedy` S2-b; `priority` is what PROTOCOL allows inside a team.
  */
 export function mayStop(tree: Tree, asker: Asker, victim: Victim): Reason | null {
-  if (victim.team === asker.team) return victim.rank < asker.rank ? "priority" : null;
+  const affordable = asker.entitled || victim.loss <= asker.patience;
+  if (victim.team === asker.team) {
+    return affordable && victim.rank < asker.rank ? "priority" : null;
+  }
   const groups = tree.siblings(asker.team, victim.team);
   if (groups === null) return null;
   // Someone who uses only what is guaranteed, anywhere on the way up, is not to blame.
@@ -43,8 +48,8 @@
     if (!tree.borrows(group)) return null;
     if (group === groups.y) break;
   }
-  if (!tree.borrows(groups.x, asker.size)) return "reclaim";
-  if (victim.loss > asker.patience) return null;
+  if (!tree.borrows(groups.x, asker.size)) return affordable ? "reclaim" : null;
+  if (victim.loss > asker.patience / 4) return null;
   const mine = tree.share(groups.x, asker.size);
   const without = tree.share(groups.y, {
     cpus: -victim.size.cpus,
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -810,6 +810,8 @@
     machine.touched();
     this.#charge(spec, 1);
     tree.charge(spec.team, spec);
+    // It is being served: what is left of it starts to wait anew.
+    job.waitingSince = now;
   }
 
   #placeOne(
@@ -949,11 +951,11 @@
           }
           return null;
         };
-        // Stopping work to even out shares must not cost more than the asker has waited.
-        const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs) / 4;
+        const entitled = guaranteed.has(job.header);
+        const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs);
         const picks = chooseVictims(
           tree,
-          { team: spec.team, rank: spec.rank, size, patience },
+          { team: spec.team, rank: spec.rank, size, entitled, patience },
           [...victims.values()],
           (stopped) => place(stopped) !== null,
           16,
