Ties at share zero go to the emptiest guarantee; even out once a lease

Cause: three parts corrected the same imbalance from slightly old figures and overshot, so tasks were stopped to and fro.

--- a/src/fair/preempt.ts
+++ b/src/fair/preempt.ts
@@ -23,6 +23,8 @@
    * delay against churn ("Risks and Mitigations"); this is both in one.
    */
   patience: number;
+  /** Whether shares may be evened out now (S2). */
+  even: boolean;
 }
 
 export type Reason = "priority" | "reclaim" | "fair" | "greedy";
@@ -49,7 +51,7 @@
     if (group === groups.y) break;
   }
   if (!tree.borrows(groups.x, asker.size)) return affordable ? "reclaim" : null;
-  if (victim.loss > asker.patience / 4) return null;
+  if (!asker.even || victim.loss > asker.patience / 4) return null;
   const mine = tree.share(groups.x, asker.size);
   const without = tree.share(groups.y, {
     cpus: -victim.size.cpus,
--- a/src/fair/share.ts
+++ b/src/fair/share.ts
@@ -89,6 +89,14 @@
     return Math.max(ratio(over.cpus, pool.cpus), ratio(over.gpus, pool.gpus)) / own.weight;
   }
 
+  /** How much of its guarantee a team uses, by the resource it uses most of. */
+  filled(team: string): number {
+    const { nominal } = this.#groups.get(team)!;
+    const use = this.use(team);
+    const ratio = (used: number, of: number): number => (of > 0 ? used / of : used > 0 ? 1 : 0);
+    return Math.max(ratio(use.cpus, nominal.cpus), ratio(use.gpus, nominal.gpus));
+  }
+
   /** Shares from below the root down to the team: compared level by level. */
   shares(team: string): number[] {
     return this.path(team)
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -134,6 +134,7 @@
   #tickAt = 0;
   #timerSet = false;
   #summaryAt = 0;
+  #evenedAt = 0;
   #sentAt = 0;
   #lastState = "";
   #summaries = 0;
@@ -632,7 +633,9 @@
       let shares: number[] = [];
       for (const name of queues.keys()) {
         const own = tree.shares(name);
-        if (team === "" || compareShares(own, shares) < 0) {
+        // Below their guarantees all shares are zero: then the one with the least of it.
+        const order = team === "" ? -1 : compareShares(own, shares);
+        if (order < 0 || (order === 0 && tree.filled(name) < tree.filled(team))) {
           team = name;
           shares = own;
         }
@@ -913,6 +916,9 @@
       }
       rooms.set(machine.id, room);
     }
+    // Every part evens out by itself and sees the others' use a little late: all at once they
+    // would overshoot, and the next moment the other way round.
+    let even = now - this.#evenedAt > this.ctx.leaseMs;
     for (const job of blocked) {
       // What is within a guarantee does not wait; anything else gives room a chance to turn up.
       if (!guaranteed.has(job.header) && now - job.waitingSince < this.ctx.leaseMs) continue;
@@ -955,7 +961,7 @@
         const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs);
         const picks = chooseVictims(
           tree,
-          { team: spec.team, rank: spec.rank, size, entitled, patience },
+          { team: spec.team, rank: spec.rank, size, entitled, patience, even },
           [...victims.values()],
           (stopped) => place(stopped) !== null,
           16,
@@ -970,6 +976,10 @@
           victims.delete(id);
           const grace =
             victim.spec.checkpointS > 0 ? victim.spec.saveS + this.ctx.reportMs / 1000 : 0;
+          if (reason === "fair" || reason === "greedy") {
+            even = false;
+            this.#evenedAt = now;
+          }
           for (const { live, machine } of victim.tasks) {
             this.#stopLive(live, grace, reason);
             give(rooms.get(machine.id)!, victim.spec, 1);
