--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -24,6 +24,11 @@
   valid(): boolean;
 }
 
+/** A machine is paid for a minute at least, so demand is looked at over a minute (PROTOCOL). */
+const DEMAND_MS = 60_000;
+/** Machines kept above the demand, so that new work finds room at once. */
+const HEADROOM = 1.1;
+
 /** Rents and returns machines. Only the leader runs one. */
 export class Fleet {
   readonly #budget: Budget;
@@ -37,6 +42,8 @@
   readonly #startedAt: number;
   #types = new Map<string, wire.MachineType>();
   #requests = 0;
+  #demand = 0;
+  #demandAt: number;
   #listAt = Number.NEGATIVE_INFINITY;
   #typesAt = Number.NEGATIVE_INFINITY;
   #stopped = false;
@@ -46,6 +53,7 @@
   constructor(readonly ctx: FleetContext) {
     this.#budget = new Budget(ctx.rps * 0.8, ctx.rps, ctx.clock);
     this.#startedAt = ctx.clock.now();
+    this.#demandAt = this.#startedAt;
   }
 
   start(): void {
@@ -146,16 +154,8 @@
   async #giveBack(summaries: Summary[]): Promise<void> {
     const now = this.ctx.clock.now();
     const gone = new Set<string>();
-    const waiting = summaries.reduce((sum, { waiting: w }) => sum + w, 0);
-    for (const { retired, idle } of summaries) {
-      for (const id of retired) gone.add(id);
-      if (waiting > 0) continue;
-      for (const [id, seconds] of Object.entries(idle)) {
-        const type = this.#types.get(this.#listed.get(id)?.type ?? "");
-        // One that is returned now costs its boot time again when it is needed.
-        if (seconds > Math.max(45, type?.bootS ?? 0)) gone.add(id);
-      }
-    }
+    for (const { retired } of summaries) for (const id of retired) gone.add(id);
+    for (const id of this.#surplus(summaries)) gone.add(id);
     for (const machine of this.#listed.values()) {
       const type = this.#types.get(machine.type);
       if (machine.state === "failed") gone.add(machine.id);
@@ -187,6 +187,44 @@
     }
   }
 
+  /**
+   * Idle machines beyond what has been in demand over the last minute or so, the dearest first.
+   * A lull shorter than that does not cost the boot times of machines that were returned.
+   */
+  #surplus(summaries: Summary[]): string[] {
+    const now = this.ctx.clock.now();
+    const demand = summaries.reduce(
+      (sum, { use, waiting }) =>
+        sum + waiting + Object.values(use).reduce((cpus, [used]) => cpus + used, 0),
+      0,
+    );
+    const weight = 1 - Math.exp(-(now - this.#demandAt) / DEMAND_MS);
+    this.#demandAt = now;
+    this.#demand += (demand - this.#demand) * weight;
+    let spare =
+      summaries.reduce((sum, { capacity }) => sum + capacity, 0) -
+      Math.max(demand, this.#demand) * HEADROOM;
+    const idle: { id: string; cpus: number; price: number }[] = [];
+    for (const summary of summaries) {
+      for (const [id, seconds] of Object.entries(summary.idle)) {
+        const machine = this.#listed.get(id);
+        const type = this.#types.get(machine?.type ?? "");
+        if (machine === undefined || type === undefined || seconds * 1000 < this.ctx.leaseMs / 2) {
+          continue;
+        }
+        const price = (machine.spot ? type.spotPrice : type.price) / Math.max(type.cpus, 1);
+        idle.push({ id, cpus: type.cpus, price });
+      }
+    }
+    const chosen: string[] = [];
+    for (const { id, cpus } of idle.sort((a, b) => b.price - a.price)) {
+      if (spare < cpus) continue;
+      spare -= cpus;
+      chosen.push(id);
+    }
+    return chosen;
+  }
+
   /** Repeats what must be said; saying it twice does no harm. */
   async #until(run: () => Promise<unknown>): Promise<void> {
     for (;;) {
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -849,8 +849,12 @@
       const room = machine.room(types.get(machine.type), this.#specOf);
       if (!fitsRoom(room, spec)) continue;
       if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
-      // The fullest machine that has the image: keeps others free, to be used whole or returned.
-      const cost = room.cpus + (spec.image === null || machine.images.has(spec.image) ? 0 : 1000);
+      // The fullest cheap machine that has the image: keeps others free, to be used whole or
+      // returned, the dear ones first.
+      const cost =
+        room.cpus +
+        (machine.spot ? 0 : 1000) +
+        (spec.image === null || machine.images.has(spec.image) ? 0 : 2000);
       if (cost < bestCost) {
         best = machine;
         bestCost = cost;
