Keep the room that is cleared for a job; rent dear machines for lasting need only

Ruled out: the fairness rules themselves, since the stopped tasks went straight back to the same machines.

--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -24,17 +24,21 @@
   valid(): boolean;
 }
 
-/** A machine is paid for a minute at least, so demand is looked at over a minute (PROTOCOL). */
-const DEMAND_MS = 60_000;
+/** An offer this many times dearer than the cheapest of all is taken only for lasting need. */
+const DEAR = 1.5;
 /** Machines kept above the demand, so that new work finds room at once. */
 const HEADROOM = 1.1;
 
+const offerKey = ({ type, zone, spot }: Offer): string => `${type.name}/${zone}/${spot}`;
+
 /** Rents and returns machines. Only the leader runs one. */
 export class Fleet {
   readonly #budget: Budget;
   readonly #listed = new Map<string, wire.ListedMachine & { seenAt: number }>();
   /** Rented by us and not listed yet. */
   readonly #rented = new Map<string, wire.ListedMachine & { at: number }>();
+  /** Since when there has been more need than machines, booting ones included. */
+  #shortSince: number;
   readonly #refused = new Map<string, number>();
   readonly #returned = new Set<string>();
   /** When a machine was last named by a part, and since when one has been asked to go. */
@@ -54,6 +58,7 @@
     this.#budget = new Budget(ctx.rps * 0.8, ctx.rps, ctx.clock);
     this.#startedAt = ctx.clock.now();
     this.#demandAt = this.#startedAt;
+    this.#shortSince = this.#startedAt;
   }
 
   start(): void {
@@ -188,8 +193,8 @@
   }
 
   /**
-   * Idle machines beyond what has been in demand over the last minute or so, the dearest first.
-   * A lull shorter than that does not cost the boot times of machines that were returned.
+   * Idle machines beyond what has been in demand lately, the dearest first. "Lately" is as long
+   * as machines take to boot: for a shorter lull, returning and renting again would cost more.
    */
   #surplus(summaries: Summary[]): string[] {
     const now = this.ctx.clock.now();
@@ -198,7 +203,8 @@
         sum + waiting + Object.values(use).reduce((cpus, [used]) => cpus + used, 0),
       0,
     );
-    const weight = 1 - Math.exp(-(now - this.#demandAt) / DEMAND_MS);
+    const bootMs = Math.max(1, ...[...this.#types.values()].map(({ bootS }) => bootS * 1000));
+    const weight = 1 - Math.exp(-(now - this.#demandAt) / bootMs);
     this.#demandAt = now;
     this.#demand += (demand - this.#demand) * weight;
     let spare =
@@ -218,7 +224,8 @@
     }
     const chosen: string[] = [];
     for (const { id, cpus } of idle.sort((a, b) => b.price - a.price)) {
-      if (spare < cpus) continue;
+      // The average never quite reaches zero.
+      if (spare < cpus - 0.5) continue;
       spare -= cpus;
       chosen.push(id);
     }
@@ -244,8 +251,8 @@
     for (const type of this.#types.values()) {
       for (const zone of type.zones) {
         for (const spot of [true, false]) {
-          if ((this.#refused.get(`${type.name}/${zone}/${spot}`) ?? 0) > now) continue;
-          offers.push({ type, zone, spot, price: spot ? type.spotPrice : type.price });
+          const offer = { type, zone, spot, price: spot ? type.spotPrice : type.price };
+          if ((this.#refused.get(offerKey(offer)) ?? 0) <= now) offers.push(offer);
         }
       }
     }
@@ -258,12 +265,30 @@
     const booting = [...this.#rented.values(), ...this.#listed.values()].filter(
       ({ id }) => !this.#heard.has(id) && !this.#returned.has(id),
     );
-    for (const { offer, count } of plan(needs, booting, this.#types, this.#offers())) {
+    const now = this.ctx.clock.now();
+    const offers = this.#offers();
+    const perCpu = ({ price, type }: Offer): number => price / Math.max(1, type.cpus);
+    const cheapest = this.#cheapest();
+    const wishes = plan(needs, booting, this.#types, offers);
+    if (wishes.length === 0) this.#shortSince = now;
+    for (const { offer, count } of wishes) {
       if (!this.ctx.valid()) return;
+      if (perCpu(offer) > DEAR * cheapest) {
+        // Work may be done by the time it has booted, or cheaper machines become free.
+        if (now - this.#shortSince < offer.type.bootS * 1000) continue;
+      }
       await this.#rentSome(offer, Math.min(count, wire.MAX_RENT));
     }
   }
 
+  /** The lowest price of a CPU, whether it can be had now or not. */
+  #cheapest(): number {
+    const prices = [...this.#types.values()].map(
+      ({ price, spotPrice, cpus }) => Math.min(price, spotPrice) / Math.max(1, cpus),
+    );
+    return Math.min(...prices);
+  }
+
   async #rentSome(offer: Offer, count: number): Promise<void> {
     // A name is used for one request only. It carries our token, so no other leader uses it.
     if (this.#open === null) {
@@ -282,7 +307,7 @@
         open.count,
       ),
     );
-    const key = `${open.offer.type.name}/${open.offer.zone}/${open.offer.spot}`;
+    const key = offerKey(open.offer);
     if (answer.status === 503) {
       this.#open = null;
       const trouble = (answer.body as { error?: string } | undefined)?.error !== "no capacity";
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -37,7 +37,15 @@
 import type { MachineType } from "../wire/cloud.js";
 import type { JobSpec } from "../wire/jobs.js";
 import * as wire from "../wire/workers.js";
-import { allowed, fitsRoom, Machine, type Room, zoneAllowed } from "../workers/machine.js";
+import {
+  allowed,
+  fitsRoom,
+  give,
+  Machine,
+  type Room,
+  unreserved,
+  zoneAllowed,
+} from "../workers/machine.js";
 import type { Need, Summaries, Summary } from "./summary.js";
 
 export interface PartContext {
@@ -619,6 +627,12 @@
       else queue.push(job);
     }
     const machines = [...this.machines.values()].filter((machine) => this.#usable(machine, now));
+    for (const machine of machines) {
+      for (const [id, { until }] of machine.reserved) {
+        const job = this.jobs.get(id);
+        if (until < now || job === undefined || !this.#hasPending(job)) machine.reserved.delete(id);
+      }
+    }
     const guaranteed = this.#guaranteed(queues);
     for (const queue of queues.values()) {
       queue.sort((a, b) => {
@@ -789,7 +803,9 @@
       const perZone = new Map<string, number>();
       for (const machine of machines) {
         if (!allowed(spec, machine) || (zone !== null && machine.zone !== zone)) continue;
-        const room = { ...machine.room(types.get(machine.type), this.#specOf) };
+        const room = {
+          ...unreserved(machine.room(types.get(machine.type), this.#specOf), machine, job.id),
+        };
         while (
           hosts.length < count &&
           fitsRoom(room, spec) &&
@@ -811,6 +827,8 @@
     machine.live.set(live.task, live);
     if (spec.image !== null) machine.images.add(spec.image);
     machine.touched();
+    const kept = machine.reserved.get(job.id);
+    if (kept !== undefined && --kept.tasks === 0) machine.reserved.delete(job.id);
     this.#charge(spec, 1);
     tree.charge(spec.team, spec);
     // It is being served: what is left of it starts to wait anew.
@@ -846,13 +864,15 @@
     let bestCost = Number.POSITIVE_INFINITY;
     for (const machine of machines) {
       if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
-      const room = machine.room(types.get(machine.type), this.#specOf);
+      const free = machine.room(types.get(machine.type), this.#specOf);
+      const room = unreserved(free, machine, job.id);
       if (!fitsRoom(room, spec)) continue;
       if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
       // The fullest cheap machine that has the image: keeps others free, to be used whole or
       // returned, the dear ones first.
       const cost =
         room.cpus +
+        (machine.reserved.has(job.id) ? -10_000 : 0) +
         (machine.spot ? 0 : 1000) +
         (spec.image === null || machine.images.has(spec.image) ? 0 : 2000);
       if (cost < bestCost) {
@@ -918,7 +938,7 @@
           known.tasks.push({ live, machine });
         }
       }
-      rooms.set(machine.id, room);
+      rooms.set(machine.id, unreserved(room, machine, null));
     }
     // Every part evens out by itself and sees the others' use a little late: all at once they
     // would overshoot, and the next moment the other way round.
@@ -932,7 +952,8 @@
       for (const chunk of job.chunks.values()) {
         if (chunk.movingTo === null) pending += chunk.pending;
       }
-      if (pending === 0) continue;
+      for (const machine of machines) pending -= machine.reserved.get(job.id)?.tasks ?? 0;
+      if (pending <= 0) continue;
       const together = spec.kind === "gang" ? pending : 1;
       const size = { cpus: spec.cpus * together, gpus: spec.gpus * together };
       if (!this.#fitsQuota(spec, together)) continue;
@@ -994,7 +1015,12 @@
             "task preempted",
           );
         }
-        for (const machine of chosen) give(rooms.get(machine.id)!, spec, -1);
+        for (const machine of chosen) {
+          give(rooms.get(machine.id)!, spec, -1);
+          const kept = machine.reserved.get(job.id);
+          if (kept !== undefined) kept.tasks++;
+          else machine.reserved.set(job.id, { tasks: 1, spec, until: now + this.ctx.leaseMs });
+        }
         tree.charge(spec.team, size);
       }
     }
@@ -1354,12 +1380,6 @@
   }
 }
 
-function give(room: Room, spec: JobSpec, sign: 1 | -1): void {
-  room.cpus += sign * spec.cpus;
-  room.gpus += sign * spec.gpus;
-  room.memGb += sign * spec.memGb;
-}
-
 /** Inside a team: priority, then the earlier deadline, then the earlier submission. */
 function byUrgency(a: Job, b: Job): number {
   if (a.spec.rank !== b.spec.rank) return b.spec.rank - a.spec.rank;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -32,6 +32,11 @@
   /** Tasks that it lists and that are not ours to count: they take room until they are gone. */
   strays: JobSpec[] = [];
   readonly images = new Set<string>();
+  /**
+   * Room that is being cleared for a job. Without this, smaller tasks took what was freed before
+   * there was enough of it, and the same tasks were stopped for the same job again and again.
+   */
+  readonly reserved = new Map<string, { tasks: number; spec: JobSpec; until: number }>();
   #room: Room | null = null;
 
   constructor(
@@ -63,6 +68,20 @@
   }
 }
 
+export function give(room: Room, spec: JobSpec, times: number): void {
+  room.cpus += times * spec.cpus;
+  room.gpus += times * spec.gpus;
+  room.memGb += times * spec.memGb;
+}
+
+/** `room` less what is reserved for other jobs than `job`. */
+export function unreserved(room: Room, machine: Machine, job: string | null): Room {
+  if (machine.reserved.size === 0) return room;
+  const left = { ...room };
+  for (const [id, { tasks, spec }] of machine.reserved) if (id !== job) give(left, spec, -tasks);
+  return left;
+}
+
 export const fitsRoom = (room: Room, spec: JobSpec): boolean =>
   spec.cpus <= room.cpus + 1e-6 && spec.gpus <= room.gpus + 1e-6 && spec.memGb <= room.memGb + 1e-6;
 
