--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -1,5 +1,5 @@
 import { type Clock, sleep } from "../clock.js";
-import type { HttpClient } from "../http/client.js";
+import type { Caller } from "../http/client.js";
 import type { Log } from "../log.js";
 import type { Need, Summaries, Summary } from "../part/summary.js";
 import { Budget } from "../state/budget.js";
@@ -12,7 +12,7 @@
 export interface FleetContext {
   token: number;
   summaries: Summaries;
-  http: HttpClient;
+  cloud: Caller;
   store: Store;
   mirror: Mirror;
   clock: Clock;
@@ -89,7 +89,7 @@
     body?: object,
   ): Promise<{ status: number; body: unknown }> {
     while (!this.#budget.take(1)) await sleep(this.ctx.clock, 1000 / this.ctx.rps);
-    const answer = await this.ctx.http.call(method, path, body, 5000);
+    const answer = await this.ctx.cloud.call(method, path, body, 5000);
     if (answer.status === 429) throw new Error("429");
     return answer;
   }
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -10,10 +10,15 @@
 /** No answer came: the request may have been executed, or may still be executed later. */
 export class NoAnswer extends Error {}
 
+/** What can be asked something; throws NoAnswer when nothing comes back in time. */
+export interface Caller {
+  call(method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer>;
+}
+
 const MAX_ANSWER = 64 * 1024 * 1024;
 
 /** Requests to one address, each with a deadline of its own. */
-export class HttpClient {
+export class HttpClient implements Caller {
   readonly #agent: Agent;
   readonly #host: string;
   readonly #port: number;
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,32 +1,14 @@
 import { randomUUID } from "node:crypto";
 import { Agent, type Server } from "node:http";
-import { type Clock, sleep, systemClock } from "./clock.js";
-import { Fleet } from "./cloud/fleet.js";
-import { type Amounts, flatTree, within } from "./fair/share.js";
+import { type Clock, systemClock } from "./clock.js";
+import { Controller } from "./controller.js";
 import { HttpClient } from "./http/client.js";
-import { type Reply, type Route, type Router, retryLater, startServer } from "./http/server.js";
-import {
-  chunkSizeFor,
-  type Header,
-  isHeader,
-  partChar,
-  shownStatus,
-  undivided,
-} from "./jobs/header.js";
+import { startServer } from "./http/server.js";
 import type { Log } from "./log.js";
-import { Layout } from "./membership/layout.js";
-import { Membership } from "./membership/membership.js";
-import { Part } from "./part/part.js";
-import { isSummary, Summaries, type Summary } from "./part/summary.js";
 import { Mesh } from "./peer/mesh.js";
 import { clusterOf, type Settings } from "./settings/settings.js";
-import { keys } from "./state/keys.js";
-import { Mirror } from "./state/mirror.js";
-import { Refused, type Store, StoreClient } from "./state/store.js";
-import type { MachineType } from "./wire/cloud.js";
-import { isJobId, type JobSpec, parseSubmission, statusBody } from "./wire/jobs.js";
-import { ordersBody, ordersPath, parseReport, redirectAnswer } from "./wire/workers.js";
-import { typeFits } from "./workers/machine.js";
+import { StoreClient } from "./state/store.js";
+import { ordersPath } from "./wire/workers.js";
 
 export interface NodeOptions {
   settings: Settings;
@@ -34,45 +16,37 @@
   clock?: Clock;
 }
 
-/** One controller: answers users and workers, owns parts, and leads when it is its turn. */
+/** A controller with its sockets: what the daemon runs, and what a program may embed. */
 export class ControllerNode {
   readonly #settings: Settings;
   readonly #log: Log;
-  readonly #clock: Clock;
-  readonly #layout: Layout;
-  readonly #store: Store;
-  readonly #mirror: Mirror;
-  readonly #membership: Membership;
-  readonly #cloud: HttpClient;
+  readonly #controller: Controller;
   readonly #mesh: Mesh;
-  readonly #summaries = new Summaries();
-  readonly #parts = new Map<number, Part>();
-  readonly #limits: Map<string, Amounts>;
-  readonly #guarantees: Map<string, Amounts>;
-  readonly #openJobs = new Map<string, Header>();
-  readonly #callMs: number;
+  readonly #state: HttpClient;
+  readonly #cloud: HttpClient;
   /** Connections to workers, one each. */
-  readonly #workers = new Agent({ keepAlive: true, maxSockets: 1, timeout: 30_000 });
-  #types = new Map<string, MachineType>();
-  #fleet: Fleet | null = null;
-  /** When anyone outside last asked us anything: the load balancer does so every second. */
-  #askedAt: number | null = null;
-  #watchedAt = 0;
-  #stopped = false;
+  readonly #workers: Agent;
   #server: Server | null = null;
 
   constructor({ settings, log, clock = systemClock }: NodeOptions) {
     this.#settings = settings;
     this.#log = log;
-    this.#clock = clock;
     const { params, services } = settings;
     const cluster = clusterOf(settings);
-    this.#layout = new Layout(cluster);
+    const leaseMs = params.workers.lease_s * 1000;
+    const reportMs = params.workers.report_s * 1000;
     // A controller may use more than its even part of the budgets: the others are rarely busy
     // at the same moment, and what the service refuses is not executed.
     const part = Math.min(1, 1.5 / cluster.length);
-    this.#store = new StoreClient(
-      new HttpClient(services.state, Math.max(4, Math.floor(params.quota.max_sockets / 20)), clock),
+    this.#state = new HttpClient(
+      services.state,
+      Math.max(4, Math.floor(params.quota.max_sockets / 20)),
+      clock,
+    );
+    this.#cloud = new HttpClient(services.cloud, 4, clock);
+    this.#workers = new Agent({ keepAlive: true, maxSockets: 1, timeout: 2 * leaseMs });
+    const store = new StoreClient(
+      this.#state,
       {
         rps: params.state.rps * part,
         writeRps: params.state.write_rps * part,
@@ -82,46 +56,23 @@
         txnBytes: 48 * 1024,
       },
       clock,
-      params.workers.report_s * 1000,
-    );
-    this.#callMs = params.workers.report_s * 1000;
-    this.#guarantees = new Map(
-      params.teams.map((team) => [team.name, { cpus: team.cpus, gpus: team.gpus }]),
-    );
-    this.#cloud = new HttpClient(services.cloud, 4, clock);
-    this.#mirror = new Mirror(this.#store, clock, log, params.workers.report_s * 500);
-    this.#limits = new Map(
-      params.teams.map((team) => [team.name, { cpus: team.cpus_max, gpus: team.gpus_max }]),
+      reportMs,
     );
-    this.#membership = new Membership(
-      settings.node_name,
-      randomUUID(),
-      this.#layout,
-      this.#store,
-      this.#mirror,
-      clock,
+    this.#controller = new Controller({
+      settings,
       log,
-      {
-        gained: (index, token) => void this.#gained(index, token),
-        lost: (index, why) => this.#lost(index, why),
-        leading: (token) => this.#lead(token),
-        deposed: () => this.#depose(),
+      clock,
+      run: randomUUID(),
+      links: {
+        store,
+        cloud: this.#cloud,
+        order: (address, body) => {
+          new HttpClient(address, this.#workers, clock)
+            .call("POST", ordersPath, body, reportMs)
+            .catch((error) => log.debug({ why: String(error) }, "order not answered"));
+        },
+        broadcast: (frame) => this.#mesh.broadcast(frame),
       },
-      params.workers.lease_s,
-    );
-    this.#mirror.on("w/j/", ({ key, value }) => {
-      if (!isHeader(value)) return;
-      if (value.status === "open") this.#openJobs.set(key, value);
-      else this.#openJobs.delete(key);
-      for (const owner of this.#parts.values()) {
-        owner.tell({ kind: "header", id: key.slice(4), header: value });
-      }
-    });
-    this.#mirror.on("w/g/", ({ key }) => {
-      for (const owner of this.#parts.values()) owner.tell({ kind: "gone", machine: key.slice(4) });
-    });
-    this.#mirror.on("w/s/", ({ key, value }) => {
-      if (isSummary(value)) this.#hear(Number(key.slice(4)), value);
     });
     this.#mesh = new Mesh(
       settings.node_name,
@@ -129,390 +80,31 @@
       cluster.filter(({ name }) => name !== settings.node_name),
       clock,
       log,
-      (params.workers.lease_s * 1000) / 12,
-      (frame) => {
-        if (frame.kind === "summary") this.#hear(frame.part, frame.summary);
-      },
+      leaseMs / 12,
+      (frame) => this.#controller.hear(frame),
     );
-    this.#mirror.on(keys.types, ({ value }) => {
-      if (!Array.isArray(value)) return;
-      this.#types = new Map((value as MachineType[]).map((type) => [type.name, type]));
-    });
   }
 
   async start(): Promise<void> {
     this.#server = await startServer(
       this.#settings.listen,
-      this.#router(),
+      this.#controller.router,
       this.#log,
+      // The rest is for connections of our own.
       Math.floor(this.#settings.params.quota.max_sockets * 0.9),
     );
     await this.#mesh.start();
-    void this.#mirror.run();
-    this.#membership.start();
-    this.#watchReach();
+    this.#controller.start();
     this.#log.info({ listen: this.#settings.listen }, "started");
   }
 
   stop(): void {
-    this.#stopped = true;
-    this.#mirror.stop();
-    this.#membership.stop();
-    this.#fleet?.stop();
-    for (const part of this.#parts.values()) part.tell({ kind: "stop" });
+    this.#controller.stop();
     this.#server?.close();
     this.#server?.closeAllConnections();
-    this.#cloud.close();
     this.#mesh.stop();
+    this.#state.close();
+    this.#cloud.close();
     this.#workers.destroy();
   }
-
-  #hear(part: number, summary: Summary): void {
-    this.#summaries.offer(part, summary);
-    // Its owner speaks with a newer token than ours: we have been replaced, and out of touch.
-    const token = this.#membership.owned.get(part);
-    if (token !== undefined && summary.token > token) {
-      this.#membership.owned.delete(part);
-      this.#lost(part, "another owner speaks");
-    }
-  }
-
-  /** Steps back while those outside do not reach us, though the state service does. */
-  #watchReach(): void {
-    const leaseMs = this.#settings.params.workers.lease_s * 1000;
-    const everyMs = leaseMs / 24;
-    const now = this.#clock.now();
-    // When this process itself was held up, nobody else is to blame for the silence.
-    const late = now - this.#watchedAt > everyMs * 3;
-    this.#watchedAt = now;
-    if (!late && this.#membership.valid()) {
-      const deaf = this.#askedAt !== null && now - this.#askedAt > leaseMs / 3;
-      const parts = [...this.#parts.keys()].filter((i) => deaf || this.#parts.get(i)!.cutOff());
-      if (parts.length > 0 || (deaf && this.#fleet !== null)) {
-        this.#membership
-          .stepBack(parts, deaf ? leaseMs / 2 : leaseMs * 4, "machines do not reach us")
-          .catch(() => undefined);
-      }
-    }
-    if (!this.#stopped) this.#clock.after(everyMs, () => this.#watchReach());
-  }
-
-  // ---- parts and leadership --------------------------------------------------------------
-
-  async #gained(index: number, token: number): Promise<void> {
-    const { params } = this.#settings;
-    const held = (): boolean => this.#membership.owned.get(index) === token;
-    this.#log.info({ part: index, token }, "part claimed");
-    while (held()) {
-      try {
-        const { rows } = await this.#store.list(keys.chunks(index));
-        await this.#mirror.reached(token);
-        if (!held()) return;
-        const part = new Part(
-          {
-            index,
-            token,
-            store: this.#store,
-            mirror: this.#mirror,
-            clock: this.#clock,
-            log: this.#log,
-            valid: () => this.#membership.valid(),
-            types: () => this.#types,
-            newTree: () => flatTree(params.teams),
-            partsOf: (zone) => this.#layout.partsOf(zone),
-            limits: this.#limits,
-            summaries: this.#summaries,
-            guarantees: this.#guarantees,
-            openJobs: () => this.#openJobs.values(),
-            order: (address, session, commands) => {
-              new HttpClient(address, this.#workers, this.#clock)
-                .call("POST", ordersPath, ordersBody(token, session, commands), this.#callMs)
-                .catch((error) => this.#log.debug({ why: String(error) }, "order not answered"));
-            },
-            announce: (summary) => {
-              this.#hear(index, summary);
-              this.#mesh.broadcast({ kind: "summary", part: index, summary });
-            },
-            reportMs: params.workers.report_s * 1000,
-            leaseMs: params.workers.lease_s * 1000,
-            cancelMs: params.workers.cancel_s * 1000,
-            lost: (why) => {
-              if (held()) {
-                this.#membership.owned.delete(index);
-                this.#lost(index, why);
-              }
-            },
-          },
-          rows,
-        );
-        this.#parts.set(index, part);
-        return;
-      } catch (error) {
-        this.#log.debug({ part: index, why: String(error) }, "part not loaded yet");
-        await sleep(this.#clock, (params.workers.report_s * 1000) / 8);
-      }
-    }
-  }
-
-  #lost(index: number, why: string): void {
-    this.#log.info({ part: index, why }, "part given up");
-    this.#parts.get(index)?.tell({ kind: "stop" });
-    this.#parts.delete(index);
-  }
-
-  #lead(token: number): void {
-    this.#depose();
-    const { params } = this.#settings;
-    this.#log.info({ token }, "leading");
-    this.#fleet = new Fleet({
-      token,
-      summaries: this.#summaries,
-      http: this.#cloud,
-      store: this.#store,
-      mirror: this.#mirror,
-      clock: this.#clock,
-      log: this.#log,
-      rps: params.cloud.rps,
-      listLagMs: params.cloud.list_lag_s * 1000,
-      leaseMs: params.workers.lease_s * 1000,
-      valid: () => this.#membership.valid() && this.#membership.leaderToken === token,
-    });
-    this.#fleet.start();
-  }
-
-  #depose(): void {
-    this.#fleet?.stop();
-    this.#fleet = null;
-  }
-
-  // ---- requests --------------------------------------------------------------------------
-
-  #router(): Router {
-    const fixed = new Map<string, Route[]>([
-      ["/healthz", [{ method: "GET", run: () => this.#health() }]],
-      ["/checkin", [{ method: "POST", run: ({ body }) => this.#report(body) }]],
-      ["/api/jobs", [{ method: "POST", run: ({ body }) => this.#submit(body) }]],
-    ]);
-    const show: Route[] = [{ method: "GET", run: ({ params }) => this.#show(params[0]!) }];
-    const cancel: Route[] = [{ method: "POST", run: ({ params }) => this.#cancel(params[0]!) }];
-    return {
-      find: (path) => {
-        this.#askedAt = this.#clock.now();
-        const routes = fixed.get(path);
-        if (routes !== undefined) return { routes, params: [] };
-        const match = /^\/api\/jobs\/([^/]+)(\/withdraw)?$/.exec(path);
-        if (match === null) return null;
-        return { routes: match[2] === undefined ? show : cancel, params: [match[1]!] };
-      },
-    };
-  }
-
-  #contactAge(): number {
-    return this.#clock.now() - this.#mirror.contactAt;
-  }
-
-  #health(): Reply {
-    const fresh = this.#contactAge() < (this.#settings.params.workers.lease_s * 1000) / 2;
-    if (this.#types.size > 0 && fresh) return { status: 200, body: { ok: true } };
-    return retryLater(503, "not ready");
-  }
-
-  #report(body: unknown): Reply | Promise<Reply> {
-    const parsed = parseReport(body);
-    if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
-    const report = parsed.value;
-    const index = this.#layout.partOf(report.machine, report.zone);
-    const part = this.#parts.get(index);
-    if (part === undefined) {
-      const owner = this.#membership.ownerOf(index);
-      if (owner === null || owner === this.#settings.node_name || !this.#mirror.ready) {
-        return retryLater(503, "part has no owner yet");
-      }
-      return { status: 421, body: redirectAnswer(owner) };
-    }
-    // A job may be cancelled elsewhere without us hearing of it. Its tasks are gone in time only
-    // if the workers' leases end before that: so we stop answering early enough.
-    const { lease_s, cancel_s } = this.#settings.params.workers;
-    if (this.#contactAge() > (cancel_s - lease_s * 1.15) * 1000) {
-      return retryLater(503, "out of touch");
-    }
-    return new Promise((resolve) => {
-      part.tell({ kind: "report", report, reply: resolve });
-    });
-  }
-
-  #known(id: string): Header | null {
-    const row = this.#mirror.rows.get(keys.job(id));
-    return row !== undefined && isHeader(row.value) ? row.value : null;
-  }
-
-  /** The newest state of a job. Final states are safe to remember; others are read anew. */
-  async #current(id: string): Promise<{ header: Header; version: number } | null> {
-    const known = this.#mirror.rows.get(keys.job(id));
-    if (known !== undefined && isHeader(known.value) && known.value.status !== "open") {
-      return { header: known.value, version: known.version };
-    }
-    const row = await this.#store.get(keys.job(id));
-    if (row === null) return null;
-    if (!isHeader(row.value)) throw new Error(`job ${id}: not a header`);
-    this.#mirror.apply({ ...row, deleted: false });
-    return { header: row.value, version: row.version };
-  }
-
-  #unavailable(error: unknown): Reply {
-    this.#log.debug({ why: String(error) }, "store not available");
-    return retryLater(503, "state service not available", error instanceof Refused ? 2 : 1);
-  }
-
-  async #submit(body: unknown): Promise<Reply> {
-    const parsed = parseSubmission(body);
-    if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
-    const { id, spec } = parsed.value;
-    try {
-      if (this.#known(id) === null) {
-        if (this.#types.size === 0) return retryLater(503, "machine types not known yet");
-        const never = this.#neverRuns(spec);
-        if (never !== null) {
-          // Only a job that was never accepted may be refused.
-          const known = await this.#current(id);
-          if (known === null) return { status: 422, body: { error: never } };
-        } else {
-          if (!this.#store.writes.take(1)) return retryLater(429, "too many changes");
-          const header = this.#newHeader(spec);
-          const result = await this.#store.transact(
-            [{ key: keys.job(id), version: 0 }],
-            [{ put: keys.job(id), value: header }],
-          );
-          if (result.ok) {
-            this.#log.debug({ job: id, owners: header.owners }, "job accepted");
-            this.#mirror.apply({
-              key: keys.job(id),
-              value: header,
-              version: result.revision,
-              deleted: false,
-            });
-            return { status: 201, body: statusBody(id, "pending") };
-          }
-        }
-      }
-      const known = await this.#current(id);
-      if (known === null) return retryLater(503, "try again");
-      return { status: 200, body: statusBody(id, shownStatus(known.header)) };
-    } catch (error) {
-      return this.#unavailable(error);
-    }
-  }
-
-  #neverRuns(spec: JobSpec): string | null {
-    const limit = this.#limits.get(spec.team);
-    if (limit === undefined) return "unknown team";
-    if (![...this.#types.values()].some((type) => typeFits(spec, type))) {
-      return "a task fits no allowed machine type";
-    }
-    const times = spec.kind === "array" ? 1 : spec.tasks;
-    if (!within({ cpus: spec.cpus * times, gpus: spec.gpus * times }, limit)) {
-      return "more than the team's limit";
-    }
-    return null;
-  }
-
-  /** Splits a job's tasks between the parts, by the room they have. */
-  #newHeader(spec: JobSpec): Header {
-    const { parts } = this.#layout;
-    const chunkSize = chunkSizeFor(spec.tasks, parts, this.#store.limits.valueBytes);
-    const count = Math.ceil(spec.tasks / chunkSize);
-    const room = Array.from({ length: parts }, (_, part) => {
-      const summary = this.#summaries.of(part);
-      return summary === undefined ? 0 : summary.free - summary.waiting;
-    });
-    let owners = "";
-    const eligible = spec.zone === null ? [...room.keys()] : this.#layout.partsOf(spec.zone);
-    let pinned: number | null = null;
-    for (let i = 0; i < count; i++) {
-      let best = eligible[0]!;
-      for (const part of eligible) if (room[part]! > room[best]!) best = part;
-      // Gangs and zone rules concern all tasks of a job at once, so one part has all of them.
-      if (undivided(spec)) {
-        pinned ??= best;
-        best = pinned;
-      }
-      room[best]! -= chunkSize * spec.cpus;
-      owners += partChar(best);
-    }
-    return {
-      status: "open",
-      spec,
-      owners,
-      chunkSize,
-      at: Math.round(this.#clock.wall()),
-      started: false,
-      moves: 0,
-      tasks: spec.tasks,
-    };
-  }
-
-  async #show(id: string): Promise<Reply> {
-    if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
-    try {
-      const known = await this.#current(id);
-      if (known === null) return { status: 404, body: { error: "no such job" } };
-      return {
-        status: 200,
-        body: statusBody(id, shownStatus(known.header), this.#counts(id, known.header)),
-      };
-    } catch (error) {
-      return this.#unavailable(error);
-    }
-  }
-
-  /** For display: what the finished chunks and our own parts say. */
-  #counts(id: string, header: Header): { done: number; running: number } {
-    if (header.status === "done") return { done: header.tasks, running: 0 };
-    let done = 0;
-    let running = 0;
-    for (let i = 0; i < header.owners.length; i++) {
-      if (header.owners[i] !== "x") continue;
-      done += Math.min(header.chunkSize, header.tasks - i * header.chunkSize);
-    }
-    for (const part of this.#parts.values()) {
-      for (const chunk of part.jobs.get(id)?.chunks.values() ?? []) {
-        if (header.owners[chunk.index] !== "x") done += chunk.doneCount;
-        for (const live of chunk.live.values()) if (live.running) running++;
-      }
-    }
-    return { done, running };
-  }
-
-  async #cancel(id: string): Promise<Reply> {
-    if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
-    try {
-      for (let attempt = 0; attempt < 4; attempt++) {
-        const known = await this.#current(id);
-        if (known === null) return { status: 404, body: { error: "no such job" } };
-        const { header, version } = known;
-        if (header.status !== "open") {
-          return { status: 200, body: statusBody(id, header.status) };
-        }
-        if (!this.#store.writes.take(1)) return retryLater(429, "too many changes");
-        const next: Header = { ...header, status: "cancelled" };
-        const result = await this.#store.transact(
-          [{ key: keys.job(id), version }],
-          [{ put: keys.job(id), value: next }],
-        );
-        if (result.ok) {
-          this.#mirror.apply({
-            key: keys.job(id),
-            value: next,
-            version: result.revision,
-            deleted: false,
-          });
-          this.#log.info({ job: id }, "job cancelled");
-          return { status: 200, body: statusBody(id, "cancelled") };
-        }
-      }
-      return retryLater(503, "try again");
-    } catch (error) {
-      return this.#unavailable(error);
-    }
-  }
 }
