--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -1,7 +1,7 @@
 import { type Clock, sleep } from "../clock.js";
 import type { Caller } from "../http/client.js";
 import type { Log } from "../log.js";
-import type { Need, Summaries, Summary } from "../part/summary.js";
+import { type Need, roomOf, type Summaries, type Summary } from "../part/summary.js";
 import { Budget } from "../state/budget.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
@@ -208,8 +208,9 @@
     this.#demandAt = now;
     this.#demand += (demand - this.#demand) * weight;
     let spare =
-      summaries.reduce((sum, { capacity }) => sum + capacity, 0) -
+      summaries.reduce((sum, { kinds }) => sum + roomOf(kinds, () => true).capacity, 0) -
       Math.max(demand, this.#demand) * HEADROOM;
+    const chosen: string[] = [];
     const idle: { id: string; cpus: number; price: number }[] = [];
     for (const summary of summaries) {
       for (const [id, seconds] of Object.entries(summary.idle)) {
@@ -218,11 +219,16 @@
         if (machine === undefined || type === undefined || seconds * 1000 < this.ctx.leaseMs / 2) {
           continue;
         }
+        if (seconds * 1000 > 3 * bootMs) {
+          // Idle for that long while work waits: what waits may not use it, and it keeps the
+          // cloud from renting us something else.
+          chosen.push(id);
+          continue;
+        }
         const price = (machine.spot ? type.spotPrice : type.price) / Math.max(type.cpus, 1);
         idle.push({ id, cpus: type.cpus, price });
       }
     }
-    const chosen: string[] = [];
     for (const { id, cpus } of idle.sort((a, b) => b.price - a.price)) {
       // The average never quite reaches zero.
       if (spare < cpus - 0.5) continue;
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -15,7 +15,7 @@
 import { Layout } from "./membership/layout.js";
 import { Membership } from "./membership/membership.js";
 import { Part } from "./part/part.js";
-import { isSummary, Summaries, type Summary } from "./part/summary.js";
+import { isSummary, roomOf, Summaries, type Summary } from "./part/summary.js";
 import type { Frame } from "./peer/frames.js";
 import { clusterOf, type Settings } from "./settings/settings.js";
 import { keys } from "./state/keys.js";
@@ -24,7 +24,7 @@
 import type { MachineType } from "./wire/cloud.js";
 import { isJobId, type JobSpec, parseSubmission, statusBody } from "./wire/jobs.js";
 import { ordersBody, parseReport, redirectAnswer } from "./wire/workers.js";
-import { typeFits } from "./workers/machine.js";
+import { allowed, typeFits } from "./workers/machine.js";
 
 /** How a controller reaches the rest of the world. Tests have stand-ins for all of it. */
 export interface Links {
@@ -392,7 +392,8 @@
     const count = Math.ceil(spec.tasks / chunkSize);
     const room = Array.from({ length: parts }, (_, part) => {
       const summary = this.#summaries.of(part);
-      return summary === undefined ? 0 : summary.free - summary.waiting;
+      if (summary === undefined) return 0;
+      return roomOf(summary.kinds, (kind) => allowed(spec, kind)).free - summary.waiting;
     });
     let owners = "";
     const eligible = spec.zone === null ? [...room.keys()] : this.#layout.partsOf(spec.zone);
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -46,7 +46,7 @@
   unreserved,
   zoneAllowed,
 } from "../workers/machine.js";
-import type { Need, Summaries, Summary } from "./summary.js";
+import { type KindRoom, type Need, roomOf, type Summaries, type Summary } from "./summary.js";
 
 export interface PartContext {
   index: number;
@@ -663,7 +663,7 @@
     }
     if (blocked.length === 0) return;
     // Where there is room elsewhere, nothing has to be stopped here.
-    this.#balance(blocked, machines, types, now);
+    this.#balance(blocked, machines, now);
     this.#preempt(blocked, guaranteed, machines, types, tree, now);
   }
 
@@ -688,22 +688,39 @@
     return inside;
   }
 
-  /** Hands chunks that find no room here to parts that are less pressed. */
-  #balance(
-    blocked: Job[],
-    machines: Machine[],
-    types: ReadonlyMap<string, MachineType>,
-    now: number,
-  ): void {
-    let free = 0;
-    let capacity = 0;
+  /** Room by kind of machine, as others see it. */
+  #kinds(machines: Iterable<Machine>): KindRoom[] {
+    const types = this.ctx.types();
+    const kinds = new Map<string, KindRoom>();
     for (const machine of machines) {
       const type = types.get(machine.type);
-      capacity += type?.cpus ?? 0;
-      free += Math.max(0, machine.room(type, this.#specOf).cpus);
+      if (type === undefined) continue;
+      const { zone, spot } = machine;
+      const key = `${machine.type}/${zone}/${spot}`;
+      let kind = kinds.get(key);
+      if (kind === undefined) {
+        kind = { type: machine.type, zone, spot, capacity: 0, free: 0, most: 0 };
+        kinds.set(key, kind);
+      }
+      const room = unreserved(machine.room(type, this.#specOf), machine, null);
+      const free = Math.max(0, room.cpus);
+      kind.capacity += type.cpus;
+      kind.free += free;
+      kind.most = Math.max(kind.most, free);
     }
+    return [...kinds.values()];
+  }
+
+  /**
+   * Hands chunks that find no room here to parts that have some, or that are less pressed. Only
+   * machines that the job may use count: chunks of a job for ordinary machines once travelled for
+   * minutes between parts that had nothing but spot machines free.
+   */
+  #balance(blocked: Job[], machines: Machine[], now: number): void {
+    const own = this.#kinds(machines);
     let waiting = this.#totalWaiting();
-    const others: { part: number; load: number; capacity: number; sent: { cpus: number } }[] = [];
+    const others: { part: number; kinds: KindRoom[]; waiting: number; sent: { cpus: number } }[] =
+      [];
     for (const [part, summary] of this.ctx.summaries.all()) {
       if (part === this.ctx.index) continue;
       let sent = this.#sent.get(part);
@@ -711,8 +728,7 @@
         sent = { summary, cpus: 0 };
         this.#sent.set(part, sent);
       }
-      const { waiting: theirs, free: room, capacity: size } = summary;
-      if (size > 0) others.push({ part, load: theirs - room + sent.cpus, capacity: size, sent });
+      others.push({ part, kinds: summary.kinds, waiting: summary.waiting + sent.cpus, sent });
     }
     for (const job of blocked) {
       const { spec } = job;
@@ -726,22 +742,29 @@
         const cpus = group.reduce((sum, chunk) => sum + chunk.pending * spec.cpus, 0);
         if (cpus === 0) continue;
         let best: (typeof others)[number] | null = null;
-        const pressure = capacity > 0 ? (waiting - free) / capacity : Number.POSITIVE_INFINITY;
+        const usable = (kind: KindRoom): boolean => allowed(spec, kind);
+        const here = roomOf(own, usable);
+        const pressure =
+          here.capacity > 0 ? (waiting - here.free) / here.capacity : Number.POSITIVE_INFINITY;
         // To a part that is full as well only when it is clearly less pressed, and not soon
         // again: summaries are a little old, and chunks would travel to and fro.
         const settled = group.every((chunk) => now - chunk.since > this.ctx.leaseMs / 2);
         let least = settled ? Math.max(0, pressure - 0.25) : 0;
         for (const other of others) {
           if (allowedParts !== null && !allowedParts.includes(other.part)) continue;
-          const after = (other.load + cpus) / other.capacity;
-          if (after <= least) {
+          const there = roomOf(other.kinds, usable);
+          if (there.capacity === 0) continue;
+          const after = (other.waiting - there.free + cpus) / there.capacity;
+          // Free CPUs on many machines are no room for a large task.
+          const fits = after <= 0 && there.most + EPSILON >= spec.cpus;
+          if (fits ? after <= least : settled && after > 0 && after < least) {
             least = after;
             best = other;
           }
         }
         if (best === null) continue;
         for (const chunk of group) chunk.movingTo = best.part;
-        best.load += cpus;
+        best.waiting += cpus;
         best.sent.cpus += cpus;
         waiting -= cpus;
       }
@@ -1332,7 +1355,6 @@
 
   summary(): Summary {
     const now = this.ctx.clock.now();
-    const types = this.ctx.types();
     const pairs = (map: Map<string, Amounts>): Record<string, [number, number]> =>
       Object.fromEntries([...map].map(([team, a]) => [team, [a.cpus, a.gpus]]));
     const needs = new Map<string, Need>();
@@ -1351,25 +1373,17 @@
     }
     const idle: Record<string, number> = {};
     const retired: string[] = [];
-    let free = 0;
-    let capacity = 0;
     for (const machine of this.machines.values()) {
       const silent = now - machine.lastSeen > this.ctx.leaseMs * 1.1;
       if (silent || (machine.retired !== null && machine.live.size === 0)) retired.push(machine.id);
       else if (machine.live.size === 0)
         idle[machine.id] = Math.round((now - machine.idleSince) / 1000);
-      if (this.#usable(machine, now)) {
-        const type = types.get(machine.type);
-        capacity += type?.cpus ?? 0;
-        free += Math.max(0, machine.room(type, this.#specOf).cpus);
-      }
     }
     return {
       use: pairs(this.#use),
       need: [...needs.values()].slice(0, 40),
       short: pairs(this.#short),
-      free,
-      capacity,
+      kinds: this.#kinds([...this.machines.values()].filter((m) => this.#usable(m, now))),
       waiting: this.#totalWaiting(),
       machines: [...this.machines.keys()],
       retired,
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -6,10 +6,8 @@
   need: Need[];
   /** Teams whose slice is too small here, with what is missing. */
   short: Record<string, [number, number]>;
-  /** Free CPUs on machines that take tasks. */
-  free: number;
-  /** All CPUs of those machines. */
-  capacity: number;
+  /** The machines that take tasks, by kind. */
+  kinds: KindRoom[];
   /** CPUs of tasks that wait, over all teams. */
   waiting: number;
   machines: string[];
@@ -22,6 +20,16 @@
   seq: number;
 }
 
+export interface KindRoom {
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** All CPUs, those that are free, and the most that are free on one machine. */
+  capacity: number;
+  free: number;
+  most: number;
+}
+
 export interface Need {
   cpus: number;
   gpus: number;
@@ -59,3 +67,18 @@
     return [...this.#newest];
   }
 }
+
+/** What machines of the kinds that pass `usable` have, together. */
+export function roomOf(
+  kinds: readonly KindRoom[],
+  usable: (kind: KindRoom) => boolean,
+): Pick<KindRoom, "capacity" | "free" | "most"> {
+  const sum = { capacity: 0, free: 0, most: 0 };
+  for (const kind of kinds) {
+    if (!usable(kind)) continue;
+    sum.capacity += kind.capacity;
+    sum.free += kind.free;
+    sum.most = Math.max(sum.most, kind.most);
+  }
+  return sum;
+}
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -167,9 +167,15 @@
   out.u32(part);
   out.f64(summary.token);
   out.f64(summary.seq);
-  out.f64(summary.free);
-  out.f64(summary.capacity);
   out.f64(summary.waiting);
+  out.list(summary.kinds, (kind) => {
+    out.text(kind.type);
+    out.text(kind.zone);
+    out.u8(kind.spot ? SPOT : 0);
+    out.f64(kind.capacity);
+    out.f64(kind.free);
+    out.f64(kind.most);
+  });
   writePairs(out, summary.use);
   writePairs(out, summary.short);
   out.list(summary.need, (need) => writeNeed(out, need));
@@ -198,9 +204,15 @@
   const part = from.u32();
   const token = from.f64();
   const seq = from.f64();
-  const free = from.f64();
-  const capacity = from.f64();
   const waiting = from.f64();
+  const kinds = from.list(() => ({
+    type: from.text(),
+    zone: from.text(),
+    spot: (from.u8() & SPOT) !== 0,
+    capacity: from.f64(),
+    free: from.f64(),
+    most: from.f64(),
+  }));
   const use = readPairs(from);
   const short = readPairs(from);
   const need = from.list(() => readNeed(from));
@@ -211,7 +223,7 @@
   return {
     kind: "summary",
     part,
-    summary: { token, seq, free, capacity, waiting, use, short, need, machines, retired, idle },
+    summary: { token, seq, kinds, waiting, use, short, need, machines, retired, idle },
   };
 }
 
