--- /dev/null
+++ b/test/part.test.ts
@@ -0,0 +1,291 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { flatTree } from "../src/fair/share.js";
+import type { Reply } from "../src/http/server.js";
+import { Part } from "../src/part/part.js";
+import { Summaries } from "../src/part/summary.js";
+import { Mirror } from "../src/state/mirror.js";
+import type { Change, Condition, Row } from "../src/state/store.js";
+import type { JobSpec } from "../src/wire/jobs.js";
+import type { Command, Report } from "../src/wire/workers.js";
+import { FakeClock } from "./support/clock.js";
+import { Random } from "./support/random.js";
+import { FakeState, FakeStore } from "./support/store.js";
+
+const LIMITS = {
+  rps: 1000,
+  writeRps: 1000,
+  ops: 12,
+  conditions: 48,
+  valueBytes: 8192,
+  txnBytes: 48 * 1024,
+};
+const quiet = { debug() {}, info() {}, warn() {}, error() {} };
+const team = { name: "red", cpus: 8, gpus: 0 };
+const spec: JobSpec = {
+  class: "test",
+  team: "red",
+  kind: "array",
+  rank: 1,
+  tasks: 1,
+  cpus: 1,
+  gpus: 0,
+  memGb: 1,
+  image: null,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: true,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+};
+
+/** One part with everything around it, at the moment its owner takes it over. */
+class Bench {
+  readonly clock = new FakeClock();
+  readonly state = new FakeState(this.clock, LIMITS);
+  readonly store = new FakeStore(this.state, this.clock, new Random(7), LIMITS, 1000);
+  readonly mirror = new Mirror(this.store, this.clock, quiet, 1000);
+  token = 0;
+  lost = false;
+  part!: Part;
+
+  put(...changes: Change[]): void {
+    assert.ok(this.state.transact([], changes).ok);
+  }
+
+  async takeOver(): Promise<void> {
+    this.put({ put: "w/p/0", value: { node: "n0", run: "r" } });
+    this.token = this.state.revision;
+    void this.mirror.run();
+    await this.clock.run(100);
+    const records: Row[] = [...this.state.rows]
+      .filter(([key]) => key.startsWith("c/0/"))
+      .map(([key, { value, version }]) => ({ key, value, version }));
+    const type = { cpus: 4, gpus: 0, memGb: 16, price: 1, spotPrice: 1, bootS: 10, zones: ["a"] };
+    this.part = new Part(
+      {
+        index: 0,
+        token: this.token,
+        store: this.store,
+        mirror: this.mirror,
+        clock: this.clock,
+        log: quiet,
+        valid: () => true,
+        types: () => new Map([["m4", { name: "m4", ...type }]]),
+        newTree: () => flatTree([team]),
+        partsOf: () => [0],
+        limits: new Map([["red", { cpus: 8, gpus: 0 }]]),
+        guarantees: new Map([["red", { cpus: 8, gpus: 0 }]]),
+        summaries: new Summaries(),
+        openJobs: () => [],
+        order: () => undefined,
+        announce: () => undefined,
+        reportMs: 2000,
+        leaseMs: 12_000,
+        cancelMs: 36_000,
+        lost: () => {
+          this.lost = true;
+        },
+      },
+      records,
+    );
+    this.mirror.on("w/j/", ({ key, value }) =>
+      this.part.tell({ kind: "header", id: key.slice(4), header: value as never }),
+    );
+    this.mirror.on("w/g/", ({ key }) => this.part.tell({ kind: "gone", machine: key.slice(4) }));
+  }
+
+  report(machine: string, given: Partial<Report>): Command[] {
+    let answer: Reply | null = null;
+    const report: Report = {
+      machine,
+      address: "",
+      type: "m4",
+      zone: "a",
+      spot: true,
+      session: 1,
+      seq: 1,
+      token: this.token,
+      noticeS: null,
+      tasks: [],
+      ...given,
+    };
+    this.part.tell({
+      kind: "report",
+      report,
+      reply: (reply) => {
+        answer = reply;
+      },
+    });
+    const reply = answer as Reply | null;
+    assert.ok(reply !== null);
+    return reply.status === 200 ? (reply.body as { orders: Command[] }).orders : [];
+  }
+
+  /** Where the store says that the task is placed, and with which attempt. */
+  placed(): [number, string] | null {
+    const record = this.state.rows.get("c/0/wk-000001/0")?.value as
+      | { l: Record<string, [number, string]> }
+      | undefined;
+    return record?.l[0] ?? null;
+  }
+}
+
+const header = (more: object = {}): object => ({
+  status: "open",
+  spec,
+  owners: "0",
+  chunkSize: 1,
+  at: 0,
+  started: true,
+  moves: 0,
+  tasks: 1,
+  ...more,
+});
+const running = { task: "wk-000001/0", attempt: 1, state: "running" as const, why: "" };
+const exited = (why: string) => ({ ...running, state: "exited" as const, why });
+
+// A task is placed on `old`, and a new owner takes over. When may it start on `new`?
+const takeovers: { name: string; steps: Partial<Report>[]; gone: boolean; free?: boolean }[] = [
+  { name: "the machine stays silent", steps: [], gone: false },
+  {
+    name: "it does not list the task, but follows the old owner",
+    steps: [{ token: 1 }],
+    gone: false,
+  },
+  { name: "it lists the task", steps: [{ tasks: [running] }], gone: false },
+  {
+    name: "it follows us and does not list the task",
+    steps: [{ token: 1 }, { seq: 2 }],
+    gone: true,
+  },
+  { name: "it has begun a new session", steps: [{ session: 2 }], gone: true },
+  { name: "the task failed", steps: [{ tasks: [exited("error")] }], gone: true },
+  {
+    name: "an older report without the task comes late",
+    steps: [{ seq: 9, tasks: [running] }, { seq: 5 }],
+    gone: false,
+  },
+  {
+    name: "a report of an earlier session comes late",
+    steps: [
+      { session: 2, tasks: [running] },
+      { session: 1, seq: 99 },
+    ],
+    gone: false,
+  },
+  { name: "the cloud has confirmed that the machine is gone", steps: [], gone: true, free: true },
+];
+for (const { name, steps, gone, free } of takeovers) {
+  test(`takeover: ${name}: ${gone ? "proved gone" : "not proved gone"}`, async () => {
+    const bench = new Bench();
+    bench.put({ put: "w/j/wk-000001", value: header() });
+    bench.put({ put: "c/0/wk-000001/0", value: { a: 1, d: "", l: { 0: [1, "old"] } } });
+    await bench.takeOver();
+    bench.report("new", { token: 1 });
+    bench.report("new", { seq: 2 });
+    for (const step of steps) bench.report("old", step);
+    if (free === true) bench.put({ put: "w/g/old", value: 1 });
+    // Machines that are only silent must be waited for, however long it takes.
+    for (let seq = 3; seq < 40; seq++) {
+      await bench.clock.run(1000);
+      bench.report("new", { seq });
+    }
+    if (gone) assert.equal(bench.placed()?.[0], 2);
+    else assert.deepEqual(bench.placed(), [1, "old"]);
+  });
+}
+
+test("placement is in the store before the start command is given", async () => {
+  const bench = new Bench();
+  await bench.takeOver();
+  bench.report("new", { token: 1 });
+  bench.put({ put: "w/j/wk-000001", value: header() });
+  bench.report("new", { seq: 2 });
+  let started = false;
+  for (let seq = 3; seq < 60 && !started; seq++) {
+    await bench.clock.run(20);
+    const orders = bench.report("new", { seq });
+    started = orders.some(({ verb }) => verb === "start");
+    if (started) assert.equal(bench.placed()?.[1], "new");
+  }
+  assert.ok(started);
+});
+
+test("an end is in the store before the worker may forget it", async () => {
+  const bench = new Bench();
+  bench.put({ put: "w/j/wk-000001", value: header() });
+  bench.put({ put: "c/0/wk-000001/0", value: { a: 1, d: "", l: { 0: [1, "old"] } } });
+  await bench.takeOver();
+  const first = bench.report("old", { seq: 2, tasks: [exited("done")] });
+  assert.deepEqual(first, []);
+  await bench.clock.run(1500);
+  const value = bench.state.rows.get("w/j/wk-000001")?.value as { status: string };
+  assert.equal(value.status, "done");
+  const then = bench.report("old", { seq: 3, tasks: [exited("done")] });
+  assert.deepEqual(then, [{ verb: "clear", piece: "wk-000001/0", try: 1 }]);
+});
+
+test("a cancelled job's tasks are stopped and nothing of it starts", async () => {
+  const bench = new Bench();
+  bench.put({ put: "w/j/wk-000001", value: header() });
+  bench.put({ put: "c/0/wk-000001/0", value: { a: 1, d: "", l: { 0: [1, "old"] } } });
+  await bench.takeOver();
+  bench.report("old", { seq: 2, tasks: [running] });
+  bench.put({ put: "w/j/wk-000001", value: header({ status: "cancelled" }) });
+  await bench.clock.run(200);
+  const orders = bench.report("old", { seq: 3, tasks: [running] });
+  assert.deepEqual(orders, [{ verb: "stop", piece: "wk-000001/0", try: 1, windDownS: 0 }]);
+  bench.report("old", { seq: 4, tasks: [exited("stopped")] });
+  await bench.clock.run(3000);
+  assert.deepEqual(bench.report("old", { seq: 5 }), []);
+  assert.equal(bench.state.rows.has("c/0/wk-000001/0"), false);
+});
+
+// What comes of a transaction whose answer is lost, applied at once, late, or never.
+for (const when of ["at once", "late", "never"] as const) {
+  test(`a commit without answer, applied ${when}: placed once, then started`, async () => {
+    const bench = new Bench();
+    await bench.takeOver();
+    bench.put({ put: "w/j/wk-000001", value: header() });
+    const real = bench.state.transact.bind(bench.state);
+    let lost = 0;
+    bench.store.transact = async (conditions: Condition[], then: Change[]) => {
+      if (lost++ > 0) return real(conditions, then);
+      if (when === "at once") real(conditions, then);
+      if (when === "late") bench.clock.after(1500, () => real(conditions, then));
+      await new Promise<void>((resolve) => {
+        bench.clock.after(1000, resolve);
+      });
+      throw new Error("no answer");
+    };
+    bench.report("new", { token: 1 });
+    bench.report("new", { seq: 2 });
+    const starts = new Set<string>();
+    for (let seq = 3; seq < 12; seq++) {
+      await bench.clock.run(1000);
+      for (const order of bench.report("new", { seq })) {
+        if (order.verb === "start") starts.add(`${order.piece} ${order.try}`);
+      }
+    }
+    assert.ok(lost > 1);
+    assert.equal(starts.size, 1);
+    assert.equal(bench.placed()?.[1], "new");
+  });
+}
+
+test("an owner whose claim has changed writes nothing and gives the part up", async () => {
+  const bench = new Bench();
+  await bench.takeOver();
+  bench.put({ put: "w/p/0", value: { node: "n1", run: "q" } });
+  bench.put({ put: "w/j/wk-000001", value: header() });
+  bench.report("new", { token: 1 });
+  bench.report("new", { seq: 2 });
+  await bench.clock.run(3000);
+  assert.equal(bench.placed(), null);
+  assert.ok(bench.lost);
+});
