--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -10,7 +10,7 @@
   type Tree,
   within,
 } from "../fair/share.js";
-import type { Reply } from "../http/server.js";
+import { type Reply, retryLater } from "../http/server.js";
 import { Chunk, isChunkRecord, type Live } from "../jobs/chunk.js";
 import {
   allFinished,
@@ -110,6 +110,20 @@
   }
 }
 
+interface Found {
+  job: Job;
+  chunk: Chunk;
+  index: number;
+}
+
+/** A report whose answer waits for a commit. */
+interface Held {
+  machine: Machine;
+  report: wire.Report;
+  listed: Set<string>;
+  reply(answer: Reply): void;
+}
+
 /** One transaction on its way. */
 interface Batch {
   when: Condition[];
@@ -131,6 +145,7 @@
   readonly #loading = new Set<string>();
   /** Committed slices; what a lowering in flight gives up is no longer counted. */
   readonly #slices = new Map<string, Amounts>();
+  readonly #held = new Set<Held>();
   readonly #orders = new Map<Machine, wire.Command[]>();
   readonly #doubts = new Map<string, { version: number; slice: Amounts }>();
   readonly #use = new Map<string, Amounts>();
@@ -182,7 +197,7 @@
   protected receive(message: PartMessage): void {
     switch (message.kind) {
       case "report":
-        message.reply(this.#onReport(message.report));
+        this.#onReport(message.report, message.reply);
         break;
       case "header":
         this.#onHeader(message.id, message.header);
@@ -207,6 +222,8 @@
         break;
       case "stop":
         this.halt();
+        for (const held of this.#held) this.#answer(held);
+        this.#held.clear();
         break;
     }
   }
@@ -319,7 +336,7 @@
     }
   }
 
-  #find(task: string): { job: Job; chunk: Chunk; index: number } | null {
+  #find(task: string): Found | null {
     const slash = task.lastIndexOf("/");
     const job = this.jobs.get(task.slice(0, slash));
     if (job === undefined) return null;
@@ -369,15 +386,18 @@
     }
   }
 
-  #onReport(report: wire.Report): Reply {
+  #onReport(report: wire.Report, reply: (answer: Reply) => void): void {
     const { token, index, clock } = this.ctx;
-    const ok = (commands: wire.Command[]): Reply => ({
-      status: 200,
-      body: wire.reportAnswer(token, commands),
-    });
     // A newer owner has spoken to it: an answer of ours would be dropped and would hold it here.
-    if (report.token > token) return { status: 421, body: wire.redirectAnswer(null) };
-    if (this.ctx.mirror.rows.has(keys.gone(report.machine))) return ok([]);
+    if (report.token > token) {
+      reply({ status: 421, body: wire.redirectAnswer(null) });
+      return;
+    }
+    const nothing = (): void => reply({ status: 200, body: wire.reportAnswer(token, []) });
+    if (this.ctx.mirror.rows.has(keys.gone(report.machine))) {
+      nothing();
+      return;
+    }
     const now = clock.now();
     const machine = this.#machine(report.machine);
     // A report that was held back on its way: the list is old, and nobody waits for an answer.
@@ -386,7 +406,8 @@
       (report.session < machine.session ||
         (report.session === machine.session && report.seq <= machine.seq))
     ) {
-      return ok([]);
+      nothing();
+      return;
     }
     machine.type = report.type;
     machine.zone = report.zone;
@@ -397,7 +418,8 @@
     if (report.token < token) {
       // It has not heard of us: a start by the previous owner may still be on its way to it.
       // This answer gives it our token, after which only we can start anything.
-      return ok([]);
+      nothing();
+      return;
     }
     if (!machine.current) {
       machine.current = true;
@@ -405,43 +427,77 @@
     }
     machine.session = report.session;
     machine.seq = report.seq;
-    const commands: wire.Command[] = [];
+    const before = machine.live.size;
     const listed = new Set<string>();
     machine.strays = [];
-    for (const task of report.tasks) this.#onTask(machine, task, listed, commands, now);
+    for (const task of report.tasks) this.#onTask(machine, task, listed, now);
     for (const live of [...machine.live.values()]) {
-      if (!listed.has(live.task)) this.#onAbsent(machine, live, commands, now);
+      if (!listed.has(live.task)) this.#onAbsent(machine, live);
     }
     machine.touched();
     if (machine.noticeS !== null) this.#drain(machine);
-    this.#soon();
-    return ok(commands);
+    const answer = { machine, report, listed, reply };
+    if (machine.live.size === before) {
+      this.#answer(answer);
+      this.#soon();
+      return;
+    }
+    // Tasks have ended. The answer waits a moment for the commit of their ends, which also
+    // places what follows them: the worker may then forget and start at once, not a report later.
+    this.#held.add(answer);
+    clock.after(this.ctx.reportMs / 8, () => {
+      if (this.#held.delete(answer)) this.#answer(answer);
+    });
+    this.#soon(0);
   }
 
-  #onTask(
-    machine: Machine,
-    task: wire.ReportedTask,
-    listed: Set<string>,
-    commands: wire.Command[],
-    now: number,
-  ): void {
-    const found = this.#find(task.task);
-    const live = found?.chunk.live.get(found.index);
-    if (
-      found === null ||
-      live === undefined ||
-      live.machine !== machine.id ||
-      live.attempt !== task.attempt
-    ) {
-      if (task.state === "exited") {
-        // Its end must be in the store before the worker may forget it.
-        if (found === null || found.chunk.saved >= found.chunk.version) {
-          commands.push(wire.forgetTask(task.task, task.attempt));
+  /** What a worker is told, by what is in the store now. */
+  #answer({ machine, report, listed, reply }: Held): void {
+    const { token } = this.ctx;
+    if (this.stopped) {
+      reply(retryLater(503, "part has no owner yet"));
+      return;
+    }
+    const commands: wire.Command[] = [];
+    // Nothing starts in an answer to a report that is not the newest: the worker has given it up.
+    const newest = machine.session === report.session && machine.seq === report.seq;
+    for (const task of newest ? report.tasks : []) {
+      const found = this.#find(task.task);
+      const live = this.#liveOf(found, machine, task);
+      if (live !== undefined) {
+        if (live.stop !== null && !(task.state === "saving" && live.stop.graceS > 0)) {
+          commands.push(wire.stopTask(live.task, live.attempt, live.stop.graceS));
         }
-      } else {
-        const spec = found?.job.spec;
-        machine.strays.push(spec ?? ({ cpus: 0, gpus: 0, memGb: 0 } as JobSpec));
+      } else if (task.state !== "exited") {
         commands.push(wire.stopTask(task.task, task.attempt, 0));
+      } else if (found === null || found.chunk.saved >= found.chunk.version) {
+        // Its end must be in the store before the worker may forget it.
+        commands.push(wire.forgetTask(task.task, task.attempt));
+      }
+    }
+    for (const live of newest ? machine.live.values() : []) {
+      const found = listed.has(live.task) ? null : this.#find(live.task);
+      if (found === null || found.chunk.saved < live.version || live.stop !== null) continue;
+      if (found.job.header.status !== "open" || machine.noticeS !== null) continue;
+      if (!this.ctx.valid()) continue;
+      live.told = { session: machine.session, seq: machine.seq };
+      commands.push(wire.startTask(live.task, live.attempt));
+      this.ctx.log.debug({ task: live.task, machine: machine.id }, "start");
+    }
+    reply({ status: 200, body: wire.reportAnswer(token, commands) });
+  }
+
+  #liveOf(found: Found | null, machine: Machine, task: wire.ReportedTask): Live | undefined {
+    const live = found?.chunk.live.get(found.index);
+    return live?.machine === machine.id && live.attempt === task.attempt ? live : undefined;
+  }
+
+  #onTask(machine: Machine, task: wire.ReportedTask, listed: Set<string>, now: number): void {
+    const found = this.#find(task.task);
+    const live = this.#liveOf(found, machine, task);
+    if (found === null || live === undefined) {
+      if (task.state !== "exited") {
+        machine.strays.push(found?.job.spec ?? ({ cpus: 0, gpus: 0, memGb: 0 } as JobSpec));
       }
       return;
     }
@@ -453,9 +509,6 @@
         live.running = true;
         if (job.spec.image !== null) machine.images.add(job.spec.image);
       }
-      if (live.stop !== null && !(task.state === "saving" && live.stop.graceS > 0)) {
-        commands.push(wire.stopTask(live.task, live.attempt, live.stop.graceS));
-      }
       return;
     }
     const completed = task.why === "done" && job.spec.kind !== "service";
@@ -488,42 +541,23 @@
     }
   }
 
-  #onAbsent(machine: Machine, live: Live, commands: wire.Command[], now: number): void {
+  /** A task of ours that a worker which follows us does not list. */
+  #onAbsent(machine: Machine, live: Live): void {
     const found = this.#find(live.task);
     if (found === null) {
       machine.live.delete(live.task);
       return;
     }
     const { job, chunk } = found;
+    // Not in the store yet, so its start has not been sent.
     if (chunk.saved < live.version) return;
-    const told = live.told;
-    if (
-      live.version === 0 ||
-      live.seenAt !== null ||
-      (told !== null && told.session < machine.session)
-    ) {
-      // This worker has taken our token, no start is on its way, and it does not list the task:
-      // the task is gone, or never began.
+    const over = live.stop !== null || job.header.status !== "open" || machine.noticeS !== null;
+    const lost = live.told !== null && live.told.session < machine.session;
+    // This worker has taken our token, and every answer that carried the start is older than this
+    // report: the task is gone, or never began. If it is still wanted here it is started again.
+    if (live.version === 0 || live.seenAt !== null || lost || over) {
       this.#release(job, chunk, live, false);
-      return;
     }
-    if (live.stop !== null || job.header.status !== "open") {
-      // Every answer that carried the start is older than this report, so none can still arrive.
-      this.#release(job, chunk, live, false);
-      return;
-    }
-    if (!this.ctx.valid() || machine.noticeS !== null) {
-      if (machine.noticeS !== null) this.#release(job, chunk, live, false);
-      return;
-    }
-    if (told === null) {
-      this.ctx.log.debug(
-        { task: live.task, machine: machine.id, waited: Math.round(now - live.since) },
-        "start",
-      );
-    }
-    live.told = { session: machine.session, seq: machine.seq };
-    commands.push(wire.startTask(live.task, live.attempt));
   }
 
   /** The cloud will take the machine: what can save does so now, the rest runs as long as it may. */
@@ -1277,9 +1311,26 @@
       if (header.status === "done") this.ctx.log.info({ job: id }, "job done");
     }
     for (const { chunk, deletes } of batch.saves) if (deletes) this.#dropChunk(chunk);
+    for (const held of this.#held) {
+      if (!this.#settled(held)) continue;
+      this.#held.delete(held);
+      this.#answer(held);
+    }
     this.#soon(0);
   }
 
+  /** Whether all that an answer depends on is in the store. */
+  #settled({ machine, report }: Held): boolean {
+    for (const live of machine.live.values()) {
+      const found = this.#find(live.task);
+      if (found !== null && found.chunk.saved < live.version) return false;
+    }
+    return report.tasks.every(({ task }) => {
+      const found = this.#find(task);
+      return found === null || found.chunk.saved >= found.chunk.version;
+    });
+  }
+
   #apply(key: string, value: unknown, version: number): void {
     this.ctx.mirror.apply({ key, value, version, deleted: false });
   }
