Jobs that can be in time first; command line, operators' settings

Cause of lost deadlines in a backlog: going by the due time alone serves jobs that are late already, one after another. Jobs that can still be in time now come first, and the class aims of the settings count as due times. Also: birchdale check, submit, show, watch and withdraw; team weights, the group tree, preemption and rental policy in protobuf text format.

--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -20,15 +20,13 @@
   rps: number;
   listLagMs: number;
   leaseMs: number;
+  /** Tuning of the rental policy. */
+  dear: number;
+  headroom: number;
   /** Whether we are certainly still the leader. */
   valid(): boolean;
 }
 
-/** An offer this many times dearer than the cheapest of all is taken only for lasting need. */
-const DEAR = 1.5;
-/** Machines kept above the demand, so that new work finds room at once. */
-const HEADROOM = 1.1;
-
 const offerKey = ({ type, zone, spot }: Offer): string => `${type.name}/${zone}/${spot}`;
 
 /** Rents and returns machines. Only the leader runs one. */
@@ -209,7 +207,7 @@
     this.#demand += (demand - this.#demand) * weight;
     let spare =
       summaries.reduce((sum, { kinds }) => sum + roomOf(kinds, () => true).capacity, 0) -
-      Math.max(demand, this.#demand) * HEADROOM;
+      Math.max(demand, this.#demand) * this.ctx.headroom;
     const chosen: string[] = [];
     const idle: { id: string; cpus: number; price: number }[] = [];
     for (const summary of summaries) {
@@ -279,7 +277,7 @@
     if (wishes.length === 0) this.#shortSince = now;
     for (const { offer, count } of wishes) {
       if (!this.ctx.valid()) return;
-      if (perCpu(offer) > DEAR * cheapest) {
+      if (perCpu(offer) > this.ctx.dear * cheapest) {
         // Work may be done by the time it has booted, or cheaper machines become free.
         if (now - this.#shortSince < offer.type.bootS * 1000) continue;
       }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,6 +1,6 @@
 import { type Clock, sleep } from "./clock.js";
 import { Fleet } from "./cloud/fleet.js";
-import { type Amounts, flatTree, within } from "./fair/share.js";
+import { type Amounts, Tree, within } from "./fair/share.js";
 import type { Caller } from "./http/client.js";
 import { type Reply, type Route, type Router, retryLater } from "./http/server.js";
 import {
@@ -18,6 +18,7 @@
 import { isSummary, roomOf, Summaries, type Summary } from "./part/summary.js";
 import type { Frame } from "./peer/frames.js";
 import { clusterOf, type Settings } from "./settings/settings.js";
+import { defaultTuning, type Tuning } from "./settings/tuning.js";
 import { keys } from "./state/keys.js";
 import { Mirror } from "./state/mirror.js";
 import { Refused, type Store } from "./state/store.js";
@@ -38,6 +39,8 @@
 
 export interface ControllerOptions {
   settings: Settings;
+  /** Without it, every team has weight 1. */
+  tuning?: Tuning;
   log: Log;
   clock: Clock;
   links: Links;
@@ -49,6 +52,7 @@
 export class Controller {
   readonly router: Router;
   readonly #settings: Settings;
+  readonly #tuning: Tuning;
   readonly #log: Log;
   readonly #clock: Clock;
   readonly #links: Links;
@@ -60,6 +64,7 @@
   readonly #parts = new Map<number, Part>();
   readonly #limits: Map<string, Amounts>;
   readonly #guarantees: Map<string, Amounts>;
+  readonly #targets = new Map<string, number>();
   readonly #openJobs = new Map<string, Header>();
   #types = new Map<string, MachineType>();
   #fleet: Fleet | null = null;
@@ -68,8 +73,9 @@
   #watchedAt = 0;
   #stopped = false;
 
-  constructor({ settings, log, clock, links, run }: ControllerOptions) {
+  constructor({ settings, tuning, log, clock, links, run }: ControllerOptions) {
     this.#settings = settings;
+    this.#tuning = tuning ?? defaultTuning(settings.params.teams);
     this.#log = log;
     this.#clock = clock;
     this.#links = links;
@@ -77,6 +83,11 @@
     const { params } = settings;
     this.#layout = new Layout(clusterOf(settings));
     this.router = this.#routes();
+    // Several aims for one class: the earliest orders the jobs.
+    for (const { kind, class: name, within_s } of params.objectives) {
+      if (kind !== "finished" || name === undefined || within_s === undefined) continue;
+      this.#targets.set(name, Math.min(within_s, this.#targets.get(name) ?? within_s));
+    }
     this.#guarantees = new Map(
       params.teams.map((team) => [team.name, { cpus: team.cpus, gpus: team.gpus }]),
     );
@@ -190,11 +201,13 @@
             log: this.#log,
             valid: () => this.#membership.valid(),
             types: () => this.#types,
-            newTree: () => flatTree(params.teams),
+            newTree: () => new Tree(this.#tuning.groups),
+            ...this.#tuning.preemption,
             partsOf: (zone) => this.#layout.partsOf(zone),
             limits: this.#limits,
             summaries: this.#summaries,
             guarantees: this.#guarantees,
+            targets: this.#targets,
             openJobs: () => this.#openJobs.values(),
             order: (address, session, commands) =>
               this.#links.order(address, ordersBody(token, session, commands)),
@@ -204,7 +217,6 @@
             },
             reportMs: params.workers.report_s * 1000,
             leaseMs: params.workers.lease_s * 1000,
-            cancelMs: params.workers.cancel_s * 1000,
             lost: (why) => {
               if (held()) {
                 this.#membership.owned.delete(index);
@@ -244,6 +256,7 @@
       rps: params.cloud.rps,
       listLagMs: params.cloud.list_lag_s * 1000,
       leaseMs: params.workers.lease_s * 1000,
+      ...this.#tuning.rental,
       valid: () => this.#membership.valid() && this.#membership.leaderToken === token,
     });
     this.#fleet.start();
--- a/src/fair/preempt.ts
+++ b/src/fair/preempt.ts
@@ -18,13 +18,12 @@
   /** It fits into its team's guarantee: priorities and guarantees then work without delay. */
   entitled: boolean;
   /**
-   * Otherwise one victim may lose this much work at most, in the unit of its `loss`, and a
-   * quarter of it where shares are evened out (S2). KEP-1714 asks for a minimum run time and a
+   * Otherwise one victim may lose this much work at most, in the unit of its `loss`, and
+   * `evenPatience` where shares are evened out (S2). KEP-1714 asks for a minimum run time and a
    * delay against churn ("Risks and Mitigations"); this is both in one.
    */
   patience: number;
-  /** Whether shares may be evened out now (S2). */
-  even: boolean;
+  evenPatience: number;
 }
 
 export type Reason = "priority" | "reclaim" | "fair" | "greedy";
@@ -51,7 +50,7 @@
     if (group === groups.y) break;
   }
   if (!tree.borrows(groups.x, asker.size)) return affordable ? "reclaim" : null;
-  if (!asker.even || victim.loss > asker.patience / 4) return null;
+  if (victim.loss > asker.evenPatience) return null;
   const mine = tree.share(groups.x, asker.size);
   const without = tree.share(groups.y, {
     cpus: -victim.size.cpus,
--- a/src/fair/share.ts
+++ b/src/fair/share.ts
@@ -125,20 +125,3 @@
   }
   return 0;
 }
-
-/** The flat tree of the platform's teams. */
-export function flatTree(
-  teams: { name: string; cpus: number; gpus: number }[],
-  weights: ReadonlyMap<string, number> = new Map(),
-): Tree {
-  const nominal = teams.reduce<Amounts>((sum, team) => add(sum, team), { cpus: 0, gpus: 0 });
-  return new Tree([
-    { name: ROOT, parent: null, weight: 1, nominal },
-    ...teams.map((team) => ({
-      name: team.name,
-      parent: ROOT,
-      weight: weights.get(team.name) ?? 1,
-      nominal: { cpus: team.cpus, gpus: team.gpus },
-    })),
-  ]);
-}
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -5,6 +5,8 @@
 export interface Answer {
   status: number;
   body: unknown;
+  /** What `Retry-After` says, if it is there. */
+  retryAfterS?: number;
 }
 
 /** No answer came: the request may have been executed, or may still be executed later. */
@@ -71,15 +73,18 @@
         res.on("end", () => {
           deadline.cancel();
           const status = res.statusCode ?? 0;
-          if (size === 0) return resolve({ status, body: undefined });
+          const wait = Number(res.headers["retry-after"] ?? Number.NaN);
+          const retryAfterS = Number.isFinite(wait) ? wait : undefined;
+          if (size === 0) return resolve({ status, body: undefined, retryAfterS });
           try {
             resolve({
               status,
+              retryAfterS,
               body: decode(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)),
             });
           } catch {
             // An error page that is not CBOR still says something through its status.
-            if (status >= 400) resolve({ status, body: undefined });
+            if (status >= 400) resolve({ status, body: undefined, retryAfterS });
             else fail("answer is not CBOR");
           }
         });
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,24 +1,139 @@
 #!/usr/bin/env node
-import { Command } from "commander";
-import { ControllerNode, loadSettings, openLog, SettingsError } from "./index.js";
+import { readFileSync } from "node:fs";
+import { Command, CommanderError } from "commander";
+import {
+  ControllerNode,
+  JobClient,
+  type JobView,
+  loadSettings,
+  loadTuning,
+  openLog,
+  RequestRefused,
+  SettingsError,
+  Unanswered,
+} from "./index.js";
+
+const VERSION = "0.1.0";
+
+/** Wrong use of the command line; everything that may go wrong while running exits with 1. */
+const USAGE = 2;
+
+interface ClientOptions {
+  node: string;
+  json?: boolean;
+}
+
+function print(view: JobView, json: boolean | undefined): void {
+  const counts = view.done === undefined ? "" : `  ${view.done} done, ${view.running ?? 0} running`;
+  process.stdout.write(
+    json ? `${JSON.stringify(view)}\n` : `${view.id}  ${view.status}${counts}\n`,
+  );
+}
+
+async function ask(
+  options: ClientOptions,
+  run: (client: JobClient) => Promise<JobView>,
+): Promise<void> {
+  const client = new JobClient(options.node);
+  try {
+    print(await run(client), options.json);
+  } finally {
+    client.close();
+  }
+}
+
+async function serve(options: { config?: string; tuning?: string }): Promise<void> {
+  const { config, tuning: file } = options;
+  if (config === undefined) {
+    return program.error("error: give --config <file> or a command; see --help", {
+      exitCode: USAGE,
+    });
+  }
+  const settings = loadSettings(config);
+  const tuning = file === undefined ? undefined : loadTuning(file, settings);
+  const log = openLog(settings.node_name);
+  // Whatever goes wrong in one request must not end the others.
+  process.on("uncaughtException", (error) => log.error({ err: error }, "unexpected"));
+  process.on("unhandledRejection", (error) => log.error({ err: error }, "unexpected"));
+  await new ControllerNode({ settings, tuning, log }).start();
+}
+
+function readJob(file: string): unknown {
+  const text = readFileSync(file === "-" ? 0 : file, "utf8");
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    throw new RequestRefused(`${file}: ${(error as Error).message}`);
+  }
+}
 
 const program = new Command("birchdale")
   .description("A cluster scheduler with fair sharing between teams.")
-  .version("0.1.0")
-  .option("--config <file>", "run a controller with this settings file")
-  .action(async (options: { config?: string }) => {
-    if (options.config === undefined) program.help({ error: true });
-    const settings = loadSettings(options.config!);
-    const log = openLog(settings.node_name);
-    process.on("uncaughtException", (error) => log.error({ err: error }, "unexpected"));
-    process.on("unhandledRejection", (error) => log.error({ err: error }, "unexpected"));
-    await new ControllerNode({ settings, log }).start();
+  .version(VERSION)
+  .option("--tuning <file>", "the operators' own settings (protobuf text format)")
+  .option("--config <file>", "run a controller with these settings (TOML)")
+  .action(serve)
+  .exitOverride()
+  .configureOutput({ outputError: (text, write) => write(text) });
+
+program
+  .command("serve")
+  .description("run a controller, like --config alone")
+  .argument("<settings>", "settings file (TOML)")
+  .action((config: string) => serve({ ...program.opts(), config }));
+
+program
+  .command("check")
+  .description("check a settings file, and with --tuning the operators' settings")
+  .argument("<settings>", "settings file (TOML)")
+  .action((file: string) => {
+    const settings = loadSettings(file);
+    const { tuning } = program.opts<{ tuning?: string }>();
+    if (tuning !== undefined) loadTuning(tuning, settings);
+    process.stdout.write("ok\n");
+  });
+
+const client = (name: string, description: string): Command =>
+  program
+    .command(name)
+    .description(description)
+    .requiredOption("--node <host:port>", "a controller")
+    .option("--json", "print JSON");
+
+client("submit", "submit a job")
+  .argument("<file>", "the job as JSON, with the fields of POST /api/jobs; - for standard input")
+  .action((file: string, options: ClientOptions) =>
+    ask(options, (jobs) => jobs.submit(readJob(file))),
+  );
+client("show", "show how far a job is")
+  .argument("<id>")
+  .action((id: string, options: ClientOptions) => ask(options, (jobs) => jobs.show(id)));
+client("watch", "show every change until the job is over")
+  .argument("<id>")
+  .action(async (id: string, options: ClientOptions) => {
+    const jobs = new JobClient(options.node);
+    try {
+      await jobs.watch(id, (view) => print(view, options.json));
+    } finally {
+      jobs.close();
+    }
   });
+client("withdraw", "cancel a job")
+  .argument("<id>")
+  .action((id: string, options: ClientOptions) => ask(options, (jobs) => jobs.withdraw(id)));
 
 try {
   await program.parseAsync();
 } catch (error) {
-  if (!(error instanceof SettingsError)) throw error;
-  process.stderr.write(`${error.message}\n`);
-  process.exitCode = 1;
+  if (error instanceof CommanderError) {
+    process.exitCode = error.exitCode === 0 ? 0 : USAGE;
+  } else {
+    const known =
+      error instanceof SettingsError ||
+      error instanceof RequestRefused ||
+      error instanceof Unanswered ||
+      (error as NodeJS.ErrnoException).code !== undefined;
+    process.stderr.write(`birchdale: ${known ? (error as Error).message : String(error)}\n`);
+    process.exitCode = 1;
+  }
 }
--- a/src/node.ts
+++ b/src/node.ts
@@ -7,11 +7,13 @@
 import type { Log } from "./log.js";
 import { Mesh } from "./peer/mesh.js";
 import { clusterOf, type Settings } from "./settings/settings.js";
+import type { Tuning } from "./settings/tuning.js";
 import { StoreClient } from "./state/store.js";
 import { ordersPath } from "./wire/workers.js";
 
 export interface NodeOptions {
   settings: Settings;
+  tuning?: Tuning;
   log: Log;
   clock?: Clock;
 }
@@ -28,7 +30,7 @@
   readonly #workers: Agent;
   #server: Server | null = null;
 
-  constructor({ settings, log, clock = systemClock }: NodeOptions) {
+  constructor({ settings, tuning, log, clock = systemClock }: NodeOptions) {
     this.#settings = settings;
     this.#log = log;
     const { params, services } = settings;
@@ -60,6 +62,7 @@
     );
     this.#controller = new Controller({
       settings,
+      tuning,
       log,
       clock,
       run: randomUUID(),
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -59,12 +59,17 @@
   valid(): boolean;
   types(): ReadonlyMap<string, MachineType>;
   newTree(): Tree;
+  /** Whether shares are evened out, and how many times a loss that takes in waiting. */
+  evenOut: boolean;
+  patience: number;
   /** Parts whose machines may be in a zone. */
   partsOf(zone: string): number[];
   limits: ReadonlyMap<string, Amounts>;
   summaries: Summaries;
   /** Jobs that are not over, of all parts. */
   openJobs(): Iterable<Header>;
+  /** By class, when jobs without a deadline of their own should be finished. */
+  targets: ReadonlyMap<string, number>;
   guarantees: ReadonlyMap<string, Amounts>;
   /** Sends commands straight to a worker; whether they arrive shows in its reports. */
   order(address: string, session: number, commands: wire.Command[]): void;
@@ -72,7 +77,6 @@
   announce(summary: Summary): void;
   reportMs: number;
   leaseMs: number;
-  cancelMs: number;
   /** Our claim is gone: stop at once. */
   lost(why: string): void;
 }
@@ -98,8 +102,16 @@
     readonly spec: JobSpec,
     readonly mirror: Mirror,
     public waitingSince: number,
+    /** By when jobs of its class should be finished, seconds after submission. */
+    readonly targetS: number | null,
   ) {}
 
+  /** When it should be complete, by the time of day; infinity if nobody said. */
+  get due(): number {
+    const afterS = this.spec.deadlineS ?? this.targetS;
+    return afterS === null ? Number.POSITIVE_INFINITY : this.header.at + afterS * 1000;
+  }
+
   /**
    * Always what the mirror has, together with its version. A copy of our own once went back to
    * our last commit when its answer came after news of a later one; written on condition of that
@@ -133,6 +145,12 @@
   slices: { team: string; version: number; record: SliceRecord }[];
 }
 
+/**
+ * Estimates are often wrong by half (PROTOCOL): a job counts as too late only when even half of
+ * its estimate does not fit before it is due.
+ */
+const HOPE = 0.5;
+
 const ZERO: Amounts = { cpus: 0, gpus: 0 };
 
 /**
@@ -245,7 +263,13 @@
     if (!header.owners.includes(mine)) return;
     let job = this.jobs.get(id);
     if (job === undefined) {
-      job = new Job(id, header.spec, this.ctx.mirror, this.ctx.clock.now());
+      job = new Job(
+        id,
+        header.spec,
+        this.ctx.mirror,
+        this.ctx.clock.now(),
+        this.ctx.targets.get(header.spec.class) ?? null,
+      );
       this.jobs.set(id, job);
     }
     for (let i = 0; i < header.owners.length; i++) {
@@ -667,11 +691,12 @@
         if (until < now || job === undefined || !this.#hasPending(job)) machine.reserved.delete(id);
       }
     }
+    const wall = this.ctx.clock.wall();
     const guaranteed = this.#guaranteed(queues);
     for (const queue of queues.values()) {
       queue.sort((a, b) => {
         const x = guaranteed.has(a.header);
-        return x === guaranteed.has(b.header) ? byUrgency(a, b) : x ? -1 : 1;
+        return x === guaranteed.has(b.header) ? byUrgency(a, b, wall) : x ? -1 : 1;
       });
     }
     const blocked: Job[] = [];
@@ -999,7 +1024,7 @@
     }
     // Every part evens out by itself and sees the others' use a little late: all at once they
     // would overshoot, and the next moment the other way round.
-    let even = now - this.#evenedAt > this.ctx.leaseMs;
+    let even = this.ctx.evenOut && now - this.#evenedAt > this.ctx.leaseMs;
     for (const job of blocked) {
       // What is within a guarantee does not wait; anything else gives room a chance to turn up.
       if (!guaranteed.has(job.header) && now - job.waitingSince < this.ctx.leaseMs) continue;
@@ -1041,9 +1066,11 @@
         };
         const entitled = guaranteed.has(job.header);
         const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs);
+        // Nothing has a loss below zero.
+        const evenPatience = even ? patience / this.ctx.patience : -1;
         const picks = chooseVictims(
           tree,
-          { team: spec.team, rank: spec.rank, size, entitled, patience, even },
+          { team: spec.team, rank: spec.rank, size, entitled, patience, evenPatience },
           [...victims.values()],
           (stopped) => place(stopped) !== null,
           16,
@@ -1445,14 +1472,16 @@
   }
 }
 
-/** Inside a team: priority, then the earlier deadline, then the earlier submission. */
-function byUrgency(a: Job, b: Job): number {
+/**
+ * Inside a team: priority; then jobs that can still be in time, by when they are due; then the
+ * rest by age. In a backlog, going by the due time alone makes one late job after another.
+ */
+function byUrgency(a: Job, b: Job, now: number): number {
   if (a.spec.rank !== b.spec.rank) return b.spec.rank - a.spec.rank;
-  const due = (job: Job): number =>
-    job.spec.deadlineS === null
-      ? Number.POSITIVE_INFINITY
-      : job.header.at + job.spec.deadlineS * 1000;
-  const x = due(a);
-  const y = due(b);
-  return x === y ? a.header.at - b.header.at : x - y;
+  const x = a.due - now;
+  const y = b.due - now;
+  const xInTime = x > a.spec.estimateS * 1000 * HOPE;
+  const yInTime = y > b.spec.estimateS * 1000 * HOPE;
+  if (xInTime !== yInTime) return xInTime ? -1 : 1;
+  return xInTime && x !== y ? x - y : a.header.at - b.header.at;
 }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -28,7 +28,15 @@
     zones: z.array(z.string()).default([]),
     clock_error_ms: amount.default(0),
     teams: z.array(team),
-    objectives: z.array(z.looseObject({ kind: z.string() })).default([]),
+    objectives: z
+      .array(
+        z.object({
+          kind: z.string(),
+          class: z.string().optional(),
+          within_s: positive.optional(),
+        }),
+      )
+      .default([]),
     workers: z.object({
       report_s: positive,
       lease_s: positive,
--- /dev/null
+++ b/src/settings/tuning.ts
@@ -0,0 +1,215 @@
+import { readFileSync } from "node:fs";
+import { createRequire } from "node:module";
+import type * as Protobuf from "protobufjs";
+import type * as TextFormat from "protobufjs/ext/textformat.js";
+import { type Amounts, add, type Group, ROOT } from "../fair/share.js";
+import { type Settings, SettingsError, type Team } from "./settings.js";
+
+/** The operators' own settings, as `deploy/tuning.example.textproto` explains them. */
+const SCHEMA = `
+syntax = "proto3";
+package birchdale;
+
+message Resources {
+  double cpus = 1;
+  double gpus = 2;
+}
+
+message Group {
+  string name = 1;
+  // The group that this one belongs to; without it, the root.
+  optional string parent = 2;
+  optional double weight = 3;
+  // What its members lend to others at most, together; without it, all they are guaranteed.
+  optional Resources lending = 4;
+}
+
+message Team {
+  string name = 1;
+  optional string group = 2;
+  optional double weight = 3;
+}
+
+message Preemption {
+  // Whether borrowers are stopped to even out shares (S2), not only for guarantees.
+  optional bool even_out = 1;
+  // How many times a victim's loss the asker must have waited for that.
+  optional double patience = 2;
+}
+
+message Rental {
+  // An offer this many times dearer than the cheapest is taken only for need that lasts.
+  optional double dear = 1;
+  // Capacity kept, as a multiple of the demand.
+  optional double headroom = 2;
+}
+
+message Tuning {
+  repeated Group group = 1;
+  repeated Team team = 2;
+  optional Preemption preemption = 3;
+  optional Rental rental = 4;
+}
+`;
+
+export interface Tuning {
+  /** Teams and groups with the root, ready for a tree. */
+  groups: Group[];
+  preemption: { evenOut: boolean; patience: number };
+  rental: { dear: number; headroom: number };
+}
+
+interface RawGroup {
+  name: string;
+  parent?: string;
+  group?: string;
+  weight?: number;
+  lending?: Partial<Amounts>;
+}
+
+interface Raw {
+  group?: RawGroup[];
+  team?: RawGroup[];
+  preemption?: { even_out?: boolean; patience?: number };
+  rental?: { dear?: number; headroom?: number };
+}
+
+/** What holds without a file: every team has weight 1, and all are in one group. */
+export function defaultTuning(teams: readonly Team[]): Tuning {
+  return build({}, teams, (reason) => {
+    throw new SettingsError(reason);
+  });
+}
+
+export function loadTuning(file: string, settings: Settings): Tuning {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (error) {
+    throw new SettingsError(`${file}: ${(error as NodeJS.ErrnoException).code ?? "unreadable"}`);
+  }
+  return parseTuning(text, file, settings.params.teams);
+}
+
+export function parseTuning(text: string, file: string, teams: readonly Team[]): Tuning {
+  // Loaded only when there is such a file: it takes time and memory that most runs can save.
+  const load = createRequire(import.meta.url);
+  const protobuf = load("protobufjs") as typeof Protobuf;
+  const format = load("protobufjs/ext/textformat") as typeof TextFormat;
+  format.install();
+  const type = protobuf.parse(SCHEMA, { keepCase: true }).root.lookupType("birchdale.Tuning");
+  let raw: Raw;
+  try {
+    raw = type.toObject(type.fromText(text)) as Raw;
+  } catch (error) {
+    const message = (error as Error).message;
+    const line = / \(line (\d+)\)$/.exec(message);
+    // The parser gives no line for some values: the shortest beginning that fails has it.
+    const at = line === null ? lineOfError(type, text, message) : Number(line[1]);
+    throw new SettingsError(`${file}:${at}: ${message.replace(/ \(line \d+\)$/, "")}`);
+  }
+  return build(raw, teams, (reason, near) => {
+    throw new SettingsError(`${file}:${lineOf(text, near)}: ${reason}`);
+  });
+}
+
+function lineOfError(type: Protobuf.Type, text: string, message: string): number {
+  const lines = text.split("\n");
+  for (let count = 1; count < lines.length; count++) {
+    try {
+      type.fromText(lines.slice(0, count).join("\n"));
+    } catch (error) {
+      if ((error as Error).message === message) return count;
+    }
+  }
+  return lines.length;
+}
+
+/** The line on which a name, or a field, is written first. */
+function lineOf(text: string, near: string): number {
+  const at = text.search(new RegExp(`["']${literal(near)}["']|\\b${literal(near)}\\b`));
+  return at < 0 ? 1 : text.slice(0, at).split("\n").length;
+}
+
+const literal = (text: string): string => text.replace(/[.*+?^${}()|[\]\\]/g, "\\$&");
+
+function build(
+  raw: Raw,
+  teams: readonly Team[],
+  refuse: (reason: string, near: string) => never,
+): Tuning {
+  const ratio = (value: number | undefined, fallback: number, least: number, name: string) => {
+    if (value === undefined) return fallback;
+    if (!Number.isFinite(value) || value < least) refuse(`${name}: at least ${least}`, name);
+    return value;
+  };
+  const weight = ({ name, weight: value }: RawGroup): number => {
+    if (value === undefined) return 1;
+    if (!Number.isFinite(value) || value <= 0) refuse(`${name}: weight must be above 0`, name);
+    return value;
+  };
+  const groups = new Map<string, Group>();
+  const zero = (): Amounts => ({ cpus: 0, gpus: 0 });
+  groups.set(ROOT, { name: ROOT, parent: null, weight: 1, nominal: zero() });
+  const known = new Map(teams.map((team) => [team.name, team]));
+  for (const group of raw.group ?? []) {
+    const { name, parent, lending } = group;
+    if (name === "" || name === undefined) refuse("group: name is missing", "group");
+    if (groups.has(name)) refuse(`group ${name} is there twice`, name);
+    if (known.has(name)) refuse(`${name} is the name of a team`, name);
+    for (const value of [lending?.cpus, lending?.gpus]) {
+      if (value !== undefined && !(value >= 0))
+        refuse(`${name}: lending must not be negative`, name);
+    }
+    groups.set(name, {
+      name,
+      parent: parent ?? ROOT,
+      weight: weight(group),
+      nominal: zero(),
+      ...(lending === undefined ? {} : { lending: { ...zero(), ...lending } }),
+    });
+  }
+  for (const { name, parent } of groups.values()) {
+    if (parent !== null && !groups.has(parent)) refuse(`${name}: unknown parent ${parent}`, name);
+    const seen = new Set([name]);
+    for (let at = parent; at !== null; at = groups.get(at)?.parent ?? null) {
+      if (seen.has(at)) refuse(`group ${name} is inside itself`, name);
+      seen.add(at);
+    }
+  }
+  const set = new Map<string, RawGroup>();
+  for (const team of raw.team ?? []) {
+    if (!known.has(team.name)) refuse(`the platform has no team ${team.name}`, team.name);
+    if (set.has(team.name)) refuse(`team ${team.name} is there twice`, team.name);
+    if (team.group !== undefined && !groups.has(team.group)) {
+      refuse(`${team.name}: unknown group ${team.group}`, team.name);
+    }
+    set.set(team.name, team);
+  }
+  const leaves: Group[] = [];
+  for (const { name, cpus, gpus } of teams) {
+    const own = set.get(name);
+    const parent = own?.group ?? ROOT;
+    leaves.push({
+      name,
+      parent,
+      weight: own === undefined ? 1 : weight(own),
+      nominal: { cpus, gpus },
+    });
+    for (let at: string | null = parent; at !== null; at = groups.get(at)!.parent) {
+      const group = groups.get(at)!;
+      group.nominal = add(group.nominal, { cpus, gpus });
+    }
+  }
+  return {
+    groups: [...groups.values(), ...leaves],
+    preemption: {
+      evenOut: raw.preemption?.even_out ?? true,
+      patience: ratio(raw.preemption?.patience, 4, 0, "patience"),
+    },
+    rental: {
+      dear: ratio(raw.rental?.dear, 1.5, 1, "dear"),
+      headroom: ratio(raw.rental?.headroom, 1.1, 1, "headroom"),
+    },
+  };
+}
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -120,3 +120,23 @@
 ): object {
   return counts === undefined ? { uid: id, status } : { uid: id, status, ...counts };
 }
+
+export const jobsPath = "/api/jobs";
+export const jobPath = (id: string): string => `${jobsPath}/${encodeURIComponent(id)}`;
+export const cancelPath = (id: string): string => `${jobPath(id)}/withdraw`;
+
+const STATUSES: readonly string[] = ["pending", "running", "done", "cancelled"];
+
+export function parseStatus(
+  body: unknown,
+): { id: string; status: JobStatus; done?: number; running?: number } | null {
+  if (!isMap(body) || typeof body.uid !== "string") return null;
+  if (typeof body.status !== "string" || !STATUSES.includes(body.status)) return null;
+  const { uid: id, done, running } = body;
+  return {
+    id,
+    status: body.status as JobStatus,
+    ...(typeof done === "number" ? { done } : {}),
+    ...(typeof running === "number" ? { running } : {}),
+  };
+}
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { flatTree } from "../src/fair/share.js";
+import { Tree } from "../src/fair/share.js";
 import type { Reply } from "../src/http/server.js";
 import { Part } from "../src/part/part.js";
 import { Summaries } from "../src/part/summary.js";
+import { defaultTuning } from "../src/settings/tuning.js";
 import { Mirror } from "../src/state/mirror.js";
 import type { Change, Condition, Row } from "../src/state/store.js";
 import type { JobSpec } from "../src/wire/jobs.js";
@@ -21,7 +22,7 @@
   txnBytes: 48 * 1024,
 };
 const quiet = { debug() {}, info() {}, warn() {}, error() {} };
-const team = { name: "red", cpus: 8, gpus: 0 };
+const team = { name: "red", cpus: 8, gpus: 0, cpus_max: 8, gpus_max: 0 };
 const spec: JobSpec = {
   class: "test",
   team: "red",
@@ -76,17 +77,19 @@
         log: quiet,
         valid: () => true,
         types: () => new Map([["m4", { name: "m4", ...type }]]),
-        newTree: () => flatTree([team]),
+        newTree: () => new Tree(defaultTuning([team]).groups),
+        evenOut: true,
+        patience: 4,
         partsOf: () => [0],
         limits: new Map([["red", { cpus: 8, gpus: 0 }]]),
         guarantees: new Map([["red", { cpus: 8, gpus: 0 }]]),
+        targets: new Map(),
         summaries: new Summaries(),
         openJobs: () => [],
         order: () => undefined,
         announce: () => undefined,
         reportMs: 2000,
         leaseMs: 12_000,
-        cancelMs: 36_000,
         lost: () => {
           this.lost = true;
         },
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -1,7 +1,18 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { chooseVictims, mayStop, type Victim } from "../src/fair/preempt.js";
-import { compareShares, flatTree, ROOT, Tree } from "../src/fair/share.js";
+import { compareShares, ROOT, Tree } from "../src/fair/share.js";
+import { SettingsError } from "../src/settings/settings.js";
+import { parseTuning } from "../src/settings/tuning.js";
+
+const flatTree = (teams: { name: string; cpus: number; gpus: number }[], weights = "") =>
+  new Tree(
+    parseTuning(
+      weights,
+      "f",
+      teams.map((team) => ({ ...team, cpus_max: 0, gpus_max: 0 })),
+    ).groups,
+  );
 
 const cpus = (n: number) => ({ cpus: n, gpus: 0 });
 
@@ -19,7 +30,7 @@
       { name: "a", cpus: c.guarantee, gpus: 0 },
       { name: "b", cpus: c.others, gpus: 0 },
     ];
-    const tree = flatTree(teams, new Map([["a", c.weight]]));
+    const tree = flatTree(teams, `team { name: "a" weight: ${c.weight} }`);
     tree.charge("a", cpus(c.use));
     assert.ok(Math.abs(tree.share("a") - c.share) < 1e-9);
   });
@@ -103,7 +114,7 @@
       size: cpus(c.size),
       entitled: true,
       patience: 4,
-      even: true,
+      evenPatience: 1,
     };
     assert.equal(mayStop(tree, asker, victim("v", "y", c.v)), c.want);
   });
@@ -111,7 +122,7 @@
 
 test("preemption: inside a team only lower priority is stopped", () => {
   const tree = flatTree(teams);
-  const asker = { team: "x", rank: 1, size: cpus(1), entitled: true, patience: 0, even: true };
+  const asker = { team: "x", rank: 1, size: cpus(1), entitled: true, patience: 0, evenPatience: 0 };
   assert.equal(mayStop(tree, asker, victim("v", "x", 1, 0)), "priority");
   assert.equal(mayStop(tree, asker, victim("v", "x", 1, 1)), null);
 });
@@ -120,7 +131,14 @@
   const tree = flatTree(teams);
   tree.charge("x", cpus(20));
   tree.charge("y", cpus(40));
-  const asker = { team: "x", rank: 1, size: cpus(1), entitled: true, patience: 40, even: true };
+  const asker = {
+    team: "x",
+    rank: 1,
+    size: cpus(1),
+    entitled: true,
+    patience: 40,
+    evenPatience: 10,
+  };
   assert.equal(mayStop(tree, asker, victim("v", "y", 1, 1, 11)), null);
   assert.equal(mayStop(tree, asker, victim("v", "y", 1, 1, 9)), "fair");
 });
@@ -160,7 +178,7 @@
     tree.charge("z", cpus(14));
     const picks = chooseVictims(
       tree,
-      { team: "x", rank: 1, size: cpus(c.need), entitled: true, patience: 0, even: true },
+      { team: "x", rank: 1, size: cpus(c.need), entitled: true, patience: 0, evenPatience: 0 },
       c.victims,
       (stopped) => {
         // Freed amounts do not add up across machines: each victim is on one of its own.
@@ -175,3 +193,30 @@
     assert.equal(tree.use("z").cpus, 14, "the tree is left as it was");
   });
 }
+
+const badTuning = [
+  { name: "an unknown field", text: '\nteam { nme: "x" }', says: /^f:2: .*nme/ },
+  { name: "a weight of zero", text: 'team { name: "x"\nweight: 0 }', says: /^f:1: x: weight/ },
+  {
+    name: "a weight that is no number",
+    text: 'team {\n name: "x"\n weight: much\n}',
+    says: /^f:3: /,
+  },
+  { name: "a team the platform lacks", text: '\n\nteam { name: "w" }', says: /^f:3: .*team w/ },
+  { name: "an unknown group", text: 'team { name: "x" group: "g" }', says: /^f:1: .*group g/ },
+  {
+    name: "a cycle of groups",
+    text: 'group { name: "g" parent: "h" }\ngroup { name: "h" parent: "g" }',
+    says: /^f:1: .*inside itself/,
+  },
+  { name: "too little headroom", text: "rental {\n headroom: 0.5 }", says: /^f:2: headroom/ },
+];
+for (const { name, text, says } of badTuning) {
+  test(`tuning: refuses ${name}, with file, line and reason`, () => {
+    const platform = teams.map((team) => ({ ...team, cpus_max: 0, gpus_max: 0 }));
+    assert.throws(
+      () => parseTuning(text, "f", platform),
+      (error) => error instanceof SettingsError && says.test(error.message),
+    );
+  });
+}
