Guaranteed work goes where a report is due; metrics and a status page

Starts travel in answers to reports, so a machine that has just reported makes work wait for up to two seconds. Also: counters and a histogram (prom-client, loaded after the start), /metrics and /about/status outside the protocol's paths, and birchdale status.

--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -1,7 +1,14 @@
 import { type Clock, sleep, systemClock } from "../clock.js";
 import { type Answer, type Caller, HttpClient, NoAnswer } from "../http/client.js";
 import { isMap } from "../wire/cbor.js";
-import { cancelPath, type JobStatus, jobPath, jobsPath, parseStatus } from "../wire/jobs.js";
+import {
+  cancelPath,
+  type JobStatus,
+  jobPath,
+  jobsPath,
+  parseStatus,
+  statusPath,
+} from "../wire/jobs.js";
 
 export interface JobView {
   id: string;
@@ -44,6 +51,18 @@
     return this.#ask("POST", cancelPath(id), undefined, 5000);
   }
 
+  /** How the cluster stands, as that controller sees it. */
+  async status(): Promise<unknown> {
+    try {
+      const { status, body } = await this.#caller.call("GET", statusPath, undefined, 5000);
+      if (status === 200) return body;
+      throw new RequestRefused(`status ${status}`);
+    } catch (error) {
+      if (error instanceof NoAnswer) throw new Unanswered(error.message);
+      throw error;
+    }
+  }
+
   /** Tells every change until the job is over. */
   async watch(id: string, seen: (view: JobView) => void, everyMs = 5000): Promise<JobView> {
     let last = "";
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -14,6 +14,7 @@
 import type { Log } from "./log.js";
 import { Layout } from "./membership/layout.js";
 import { Membership } from "./membership/membership.js";
+import { Metrics } from "./metrics.js";
 import { Part } from "./part/part.js";
 import { isSummary, roomOf, Summaries, type Summary } from "./part/summary.js";
 import type { Frame } from "./peer/frames.js";
@@ -23,7 +24,7 @@
 import { Mirror } from "./state/mirror.js";
 import { Refused, type Store } from "./state/store.js";
 import type { MachineType } from "./wire/cloud.js";
-import { isJobId, type JobSpec, parseSubmission, statusBody } from "./wire/jobs.js";
+import { isJobId, type JobSpec, parseSubmission, statusBody, statusPath } from "./wire/jobs.js";
 import { ordersBody, parseReport, redirectAnswer } from "./wire/workers.js";
 import { allowed, typeFits } from "./workers/machine.js";
 
@@ -61,6 +62,7 @@
   readonly #mirror: Mirror;
   readonly #membership: Membership;
   readonly #summaries = new Summaries();
+  readonly #metrics: Metrics;
   readonly #parts = new Map<number, Part>();
   readonly #limits: Map<string, Amounts>;
   readonly #guarantees: Map<string, Amounts>;
@@ -83,6 +85,7 @@
     const { params } = settings;
     this.#layout = new Layout(clusterOf(settings));
     this.router = this.#routes();
+    this.#metrics = new Metrics(clock, params.workers.lease_s * 1000);
     // Several aims for one class: the earliest orders the jobs.
     for (const { kind, class: name, within_s } of params.objectives) {
       if (kind !== "finished" || name === undefined || within_s === undefined) continue;
@@ -206,6 +209,7 @@
             partsOf: (zone) => this.#layout.partsOf(zone),
             limits: this.#limits,
             summaries: this.#summaries,
+            metrics: this.#metrics,
             guarantees: this.#guarantees,
             targets: this.#targets,
             openJobs: () => this.#openJobs.values(),
@@ -272,6 +276,8 @@
   #routes(): Router {
     const fixed = new Map<string, Route[]>([
       ["/healthz", [{ method: "GET", run: () => this.#health() }]],
+      ["/metrics", [{ method: "GET", run: () => this.#showMetrics() }]],
+      [statusPath, [{ method: "GET", run: () => ({ status: 200, body: this.status() }) }]],
       ["/checkin", [{ method: "POST", run: ({ body }) => this.#report(body) }]],
       ["/api/jobs", [{ method: "POST", run: ({ body }) => this.#submit(body) }]],
     ]);
@@ -299,6 +305,39 @@
     return retryLater(503, "not ready");
   }
 
+  async #showMetrics(): Promise<Reply> {
+    const text = await this.#metrics.text();
+    return text === null ? retryLater(503, "not loaded yet", 5) : { status: 200, text };
+  }
+
+  /** How things stand, as far as this controller knows; for people, and for whoever must be fair. */
+  status(): object {
+    const tree = new Tree(this.#tuning.groups);
+    const parts = this.#layout.members.map((_, part) => {
+      const summary = this.#summaries.of(part);
+      for (const [team, [cpus, gpus]] of Object.entries(summary?.use ?? {})) {
+        tree.charge(team, { cpus, gpus });
+      }
+      return {
+        part,
+        owner: this.#membership.ownerOf(part),
+        token: summary?.token ?? null,
+        waitingCpus: summary?.waiting ?? 0,
+        machines: summary?.machines.length ?? 0,
+        kinds: summary?.kinds ?? [],
+      };
+    });
+    const teams = [...this.#limits].map(([name, limit]) => ({
+      name,
+      use: tree.use(name),
+      guarantee: this.#guarantees.get(name),
+      limit,
+      share: tree.share(name),
+      jobs: [...this.#openJobs.values()].filter(({ spec }) => spec?.team === name).length,
+    }));
+    return { node: this.#settings.node_name, leads: this.#fleet !== null, teams, parts };
+  }
+
   #report(body: unknown): Reply | Promise<Reply> {
     const parsed = parseReport(body);
     if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -5,6 +5,8 @@
 export interface Reply {
   status: number;
   body?: object;
+  /** Instead of a body in CBOR. */
+  text?: string;
   headers?: Record<string, string>;
 }
 
@@ -29,9 +31,9 @@
 
 function send(res: ServerResponse, reply: Reply): void {
   if (res.headersSent || res.destroyed) return;
-  const payload = reply.body === undefined ? Buffer.alloc(0) : encode(reply.body);
+  const payload = reply.body === undefined ? Buffer.from(reply.text ?? "") : encode(reply.body);
   res.writeHead(reply.status, {
-    "content-type": "application/cbor",
+    "content-type": reply.text === undefined ? "application/cbor" : "text/plain; version=0.0.4",
     "content-length": payload.length,
     ...reply.headers,
   });
--- a/src/main.ts
+++ b/src/main.ts
@@ -122,6 +122,18 @@
   .argument("<id>")
   .action((id: string, options: ClientOptions) => ask(options, (jobs) => jobs.withdraw(id)));
 
+client("status", "show teams, parts and machines, as one controller sees them").action(
+  async (options: ClientOptions) => {
+    const jobs = new JobClient(options.node);
+    try {
+      const status = await jobs.status();
+      process.stdout.write(`${JSON.stringify(status, null, options.json ? 0 : 2)}\n`);
+    } finally {
+      jobs.close();
+    }
+  },
+);
+
 try {
   await program.parseAsync();
 } catch (error) {
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -23,6 +23,7 @@
   withOwner,
 } from "../jobs/header.js";
 import type { Log } from "../log.js";
+import type { Metrics } from "../metrics.js";
 import {
   freeOf,
   isSliceRecord,
@@ -66,6 +67,7 @@
   partsOf(zone: string): number[];
   limits: ReadonlyMap<string, Amounts>;
   summaries: Summaries;
+  metrics: Metrics;
   /** Jobs that are not over, of all parts. */
   openJobs(): Iterable<Header>;
   /** By class, when jobs without a deadline of their own should be finished. */
@@ -531,6 +533,10 @@
     if (task.state !== "exited") {
       if (task.state === "running" && !live.running) {
         live.running = true;
+        if (live.version > 0) {
+          const waitedS = (now - live.since) / 1000;
+          this.ctx.metrics.add({ kind: "running", team: job.spec.team, waitedS });
+        }
         if (job.spec.image !== null) machine.images.add(job.spec.image);
       }
       return;
@@ -715,7 +721,7 @@
       }
       const queue = queues.get(team)!;
       const job = queue[0]!;
-      if (this.#placeNext(job, machines, types, tree, now)) continue;
+      if (this.#placeNext(job, guaranteed.has(job.header), machines, types, tree, now)) continue;
       if (this.#hasPending(job)) blocked.push(job);
       queue.shift();
       if (queue.length === 0) queues.delete(team);
@@ -850,12 +856,15 @@
 
   #placeNext(
     job: Job,
+    entitled: boolean,
     machines: Machine[],
     types: ReadonlyMap<string, MachineType>,
     tree: Tree,
     now: number,
   ): boolean {
-    if (job.spec.kind !== "gang") return this.#placeOne(job, machines, types, tree, now);
+    if (job.spec.kind !== "gang") {
+      return this.#placeOne(job, entitled, machines, types, tree, now);
+    }
     const chunks = [...job.chunks.values()];
     // The former attempt has to be over on all machines before all start once more.
     if (chunks.some((chunk) => chunk.live.size > 0)) return false;
@@ -919,6 +928,7 @@
 
   #placeOne(
     job: Job,
+    entitled: boolean,
     machines: Machine[],
     types: ReadonlyMap<string, MachineType>,
     tree: Tree,
@@ -955,6 +965,8 @@
       const cost =
         room.cpus +
         (machine.reserved.has(job.id) ? -10_000 : 0) +
+        // Starts travel in answers to reports: what must not wait goes where one is due.
+        (entitled ? 100 * (1 - Math.min(1, (now - machine.lastSeen) / this.ctx.reportMs)) : 0) +
         (machine.spot ? 0 : 1000) +
         (spec.image === null || machine.images.has(spec.image) ? 0 : 2000);
       if (cost < bestCost) {
@@ -1094,6 +1106,7 @@
             give(rooms.get(machine.id)!, victim.spec, 1);
           }
           tree.charge(victim.team, victim.size, -1);
+          this.ctx.metrics.add({ kind: "preempted", team: victim.team, by: spec.team, reason });
           this.ctx.log.info(
             { task: id, team: victim.team, for: job.id, asker: spec.team, reason },
             "task preempted",
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -121,6 +121,8 @@
   return counts === undefined ? { uid: id, status } : { uid: id, status, ...counts };
 }
 
+/** Not a path of the protocol: how things stand, for people. */
+export const statusPath = "/about/status";
 export const jobsPath = "/api/jobs";
 export const jobPath = (id: string): string => `${jobsPath}/${encodeURIComponent(id)}`;
 export const cancelPath = (id: string): string => `${jobPath(id)}/withdraw`;
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { Tree } from "../src/fair/share.js";
 import type { Reply } from "../src/http/server.js";
+import { Metrics } from "../src/metrics.js";
 import { Part } from "../src/part/part.js";
 import { Summaries } from "../src/part/summary.js";
 import { defaultTuning } from "../src/settings/tuning.js";
@@ -84,6 +85,7 @@
         limits: new Map([["red", { cpus: 8, gpus: 0 }]]),
         guarantees: new Map([["red", { cpus: 8, gpus: 0 }]]),
         targets: new Map(),
+        metrics: new Metrics(this.clock, 1e9),
         summaries: new Summaries(),
         openJobs: () => [],
         order: () => undefined,
