Demand over half a boot time decides which idle machines go back

Ruled out as the larger cost: boot times; half of what is not useful is spent after demand has collapsed.

--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -191,8 +191,8 @@
   }
 
   /**
-   * Idle machines beyond what has been in demand lately, the dearest first. "Lately" is as long
-   * as machines take to boot: for a shorter lull, returning and renting again would cost more.
+   * Idle machines beyond what has been in demand lately, the dearest first. "Lately" is half
+   * as long as machines take to boot: for a shorter lull, returning them would cost more.
    */
   #surplus(summaries: Summary[]): string[] {
     const now = this.ctx.clock.now();
@@ -202,7 +202,7 @@
       0,
     );
     const bootMs = Math.max(1, ...[...this.#types.values()].map(({ bootS }) => bootS * 1000));
-    const weight = 1 - Math.exp(-(now - this.#demandAt) / bootMs);
+    const weight = 1 - Math.exp((-2 * (now - this.#demandAt)) / bootMs);
     this.#demandAt = now;
     this.#demand += (demand - this.#demand) * weight;
     let spare =
@@ -214,7 +214,7 @@
       for (const [id, seconds] of Object.entries(summary.idle)) {
         const machine = this.#listed.get(id);
         const type = this.#types.get(machine?.type ?? "");
-        if (machine === undefined || type === undefined || seconds * 1000 < this.ctx.leaseMs / 2) {
+        if (machine === undefined || type === undefined || seconds * 1000 < this.ctx.leaseMs / 4) {
           continue;
         }
         if (seconds * 1000 > 3 * bootMs) {
