--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type Server, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import type { Clock } from "../clock.js";
 import type { Log } from "../log.js";
 import { decodeFrame, encodeFrame, type Frame, FrameCutter, VERSION } from "./frames.js";
@@ -48,6 +48,12 @@
     for (const peer of this.peers) this.#dial(peer);
   }
 
+  /** Where it listens, also when the settings leave the choice to the system. */
+  get port(): number {
+    const address = this.#server?.address() as AddressInfo | null | undefined;
+    return address?.port ?? 0;
+  }
+
   stop(): void {
     this.#stopped = true;
     this.#server?.close();
