--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -181,6 +181,8 @@
     for (let part = 0; part < this.layout.parts; part++) {
       const home = this.layout.home(part).name;
       if (this.owned.has(part)) {
+        // Else, once given up, it would seem to have been free since we took it.
+        this.#freeSince.delete(keys.claim(part));
         // Gently: one part at a time, and only to a controller that has been up for a while.
         const since = this.#homeSince.get(home);
         if (home !== this.node && since !== undefined && now - since > this.ttlMs) {
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -128,3 +128,19 @@
     assert.notDeepEqual([...found], []);
   });
 }
+
+test("membership: a part is taken over after a crash, and goes home once its home is back", async () => {
+  const world = new World(1, 3, TEAMS, 4);
+  await world.clock.run(20_000);
+  world.state.log.length = 0;
+  world.crash(1);
+  await world.clock.run(40_000);
+  world.stop();
+  const owners = world.state.log
+    .filter(({ key, deleted }) => key === "w/p/1" && !deleted)
+    .map(({ value }) => (value as { node: string }).node);
+  // An owner that had given the part up once took it again at once, before its home could.
+  assert.equal(owners.length, 2);
+  assert.notEqual(owners[0], "n1");
+  assert.equal(owners[1], "n1");
+});
