--- a/src/settings/tuning.ts
+++ b/src/settings/tuning.ts
@@ -209,7 +209,7 @@
     },
     rental: {
       dear: ratio(raw.rental?.dear, 1.5, 1, "dear"),
-      headroom: ratio(raw.rental?.headroom, 1.1, 1, "headroom"),
+      headroom: ratio(raw.rental?.headroom, 1.3, 1, "headroom"),
     },
   };
 }
