--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -8,8 +8,8 @@
 import { BODY_LIMIT, type Router, retryLater, startServer } from "../src/http/server.js";
 import { Mesh } from "../src/peer/mesh.js";
 import { FakeClock } from "./support/clock.js";
+import { quiet } from "./support/common.js";
 
-const quiet = { debug() {}, info() {}, warn() {}, error() {} };
 const router: Router = {
   find(path) {
     if (path === "/fails") {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -11,18 +11,10 @@
 import type { JobSpec } from "../src/wire/jobs.js";
 import type { Command, Report } from "../src/wire/workers.js";
 import { FakeClock } from "./support/clock.js";
+import { LIMITS, quiet } from "./support/common.js";
 import { Random } from "./support/random.js";
 import { FakeState, FakeStore } from "./support/store.js";
 
-const LIMITS = {
-  rps: 1000,
-  writeRps: 1000,
-  ops: 12,
-  conditions: 48,
-  valueBytes: 8192,
-  txnBytes: 48 * 1024,
-};
-const quiet = { debug() {}, info() {}, warn() {}, error() {} };
 const team = { name: "red", cpus: 8, gpus: 0, cpus_max: 8, gpus_max: 0 };
 const spec: JobSpec = {
   class: "test",
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -4,11 +4,11 @@
 import { Membership } from "../src/membership/membership.js";
 import { Mirror } from "../src/state/mirror.js";
 import { FakeClock } from "./support/clock.js";
+import { LIMITS, quiet } from "./support/common.js";
 import { Random } from "./support/random.js";
 import { FakeState, FakeStore } from "./support/store.js";
 import { type Sabotage, World } from "./support/world.js";
 
-const quiet = { debug() {}, info() {}, warn() {}, error() {} };
 const TEAMS = [
   { name: "red", cpus: 12, max: 20 },
   { name: "blue", cpus: 8, max: 24 },
@@ -137,16 +137,8 @@
 
 test("membership: who gives a part back leaves its home time to claim it", async () => {
   const clock = new FakeClock();
-  const limits = {
-    rps: 1000,
-    writeRps: 1000,
-    ops: 12,
-    conditions: 48,
-    valueBytes: 8192,
-    txnBytes: 48 * 1024,
-  };
-  const state = new FakeState(clock, limits);
-  const store = new FakeStore(state, clock, new Random(1), limits, 1000);
+  const state = new FakeState(clock, LIMITS);
+  const store = new FakeStore(state, clock, new Random(1), LIMITS, 1000);
   const mirror = new Mirror(store, clock, quiet, 1000);
   const layout = new Layout([0, 1, 2].map((n) => ({ name: `n${n}`, zone: "a" })));
   const handlers = { gained() {}, lost() {}, leading() {}, deposed() {} };
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -1,16 +1,14 @@
 import { Controller, type Links } from "../../src/controller.js";
 import type { Answer } from "../../src/http/client.js";
 import type { Reply } from "../../src/http/server.js";
-import type { Log } from "../../src/log.js";
 import { parseSettings, type Settings } from "../../src/settings/settings.js";
 import { decode, encode } from "../../src/wire/cbor.js";
 import type { Command } from "../../src/wire/workers.js";
 import { FakeClock } from "./clock.js";
+import { quiet } from "./common.js";
 import { Random } from "./random.js";
 import { FakeState, FakeStore } from "./store.js";
 
-const quiet: Log = { debug() {}, info() {}, warn() {}, error() {} };
-
 export interface TeamSettings {
   name: string;
   cpus: number;
