--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -29,6 +29,9 @@
 
 const offerKey = ({ type, zone, spot }: Offer): string => `${type.name}/${zone}/${spot}`;
 
+const roomIn = (summaries: readonly Summary[]): number =>
+  summaries.reduce((sum, { kinds }) => sum + roomOf(kinds, () => true).capacity, 0);
+
 /** Rents and returns machines. Only the leader runs one. */
 export class Fleet {
   readonly #budget: Budget;
@@ -44,6 +47,7 @@
   readonly #startedAt: number;
   #types = new Map<string, wire.MachineType>();
   #requests = 0;
+  #returns = 0;
   #demand = 0;
   #demandAt: number;
   #listAt = Number.NEGATIVE_INFINITY;
@@ -178,16 +182,9 @@
       this.#rented.delete(id);
     }
     // The cloud confirmed it: everything on these machines is gone. The parts' owners read it here.
-    const ops = this.ctx.store.limits.ops;
-    for (let i = 0; i < names.length; i += ops) {
-      const slice = names.slice(i, i + ops);
-      await this.#until(() =>
-        this.ctx.store.transact(
-          [],
-          slice.map((id) => ({ put: keys.gone(id), value: 1 })),
-        ),
-      );
-    }
+    const key = keys.gone(`${this.ctx.token}-${++this.#returns}`);
+    this.ctx.store.writes.force(1);
+    await this.#until(() => this.ctx.store.transact([], [{ put: key, value: names }]));
   }
 
   /**
@@ -205,11 +202,10 @@
     const weight = 1 - Math.exp((-2 * (now - this.#demandAt)) / bootMs);
     this.#demandAt = now;
     this.#demand += (demand - this.#demand) * weight;
-    let spare =
-      summaries.reduce((sum, { kinds }) => sum + roomOf(kinds, () => true).capacity, 0) -
-      Math.max(demand, this.#demand) * this.ctx.headroom;
+    const wanted = Math.max(demand, this.#demand);
+    const capacity = roomIn(summaries);
     const chosen: string[] = [];
-    const idle: { id: string; cpus: number; price: number }[] = [];
+    const idle: { id: string; cpus: number; price: number; headroom: number }[] = [];
     for (const summary of summaries) {
       for (const [id, seconds] of Object.entries(summary.idle)) {
         const machine = this.#listed.get(id);
@@ -223,14 +219,17 @@
           chosen.push(id);
           continue;
         }
-        const price = (machine.spot ? type.spotPrice : type.price) / Math.max(type.cpus, 1);
-        idle.push({ id, cpus: type.cpus, price });
+        const price = machine.spot ? type.spotPrice : type.price;
+        // What is kept for the next job is kept cheaply: of dear machines a quarter as much.
+        const headroom = 1 + (this.ctx.headroom - 1) * (this.#dear({ price, type }) ? 0.25 : 1);
+        idle.push({ id, cpus: type.cpus, price: price / Math.max(type.cpus, 1), headroom });
       }
     }
-    for (const { id, cpus } of idle.sort((a, b) => b.price - a.price)) {
+    let left = capacity;
+    for (const { id, cpus, headroom } of idle.sort((a, b) => b.price - a.price)) {
       // The average never quite reaches zero.
-      if (spare < cpus - 0.5) continue;
-      spare -= cpus;
+      if (left - wanted * headroom < cpus - 0.5) continue;
+      left -= cpus;
       chosen.push(id);
     }
     return chosen;
@@ -271,20 +270,27 @@
     );
     const now = this.ctx.clock.now();
     const offers = this.#offers();
-    const perCpu = ({ price, type }: Offer): number => price / Math.max(1, type.cpus);
-    const cheapest = this.#cheapest();
-    const wishes = plan(needs, booting, this.#types, offers);
+    const wishes = plan(needs, booting, this.#types, offers, wire.MAX_RENT);
     if (wishes.length === 0) this.#shortSince = now;
+    // How long all that there will be in a moment works on what waits.
+    let cpus = roomIn(summaries);
+    for (const { type } of booting) cpus += this.#types.get(type)?.cpus ?? 0;
+    const backlogS = summaries.reduce((sum, { workS }) => sum + workS, 0) / Math.max(1, cpus);
     for (const { offer, count } of wishes) {
       if (!this.ctx.valid()) return;
-      if (perCpu(offer) > this.ctx.dear * cheapest) {
+      if (this.#dear(offer)) {
         // Work may be done by the time it has booted, or cheaper machines become free.
-        if (now - this.#shortSince < offer.type.bootS * 1000) continue;
+        const lastsS = Math.max(backlogS, (now - this.#shortSince) / 1000);
+        if (lastsS < offer.type.bootS) continue;
       }
-      await this.#rentSome(offer, Math.min(count, wire.MAX_RENT));
+      await this.#rentSome(offer, count);
     }
   }
 
+  #dear({ price, type }: Pick<Offer, "price" | "type">): boolean {
+    return price / Math.max(1, type.cpus) > this.ctx.dear * this.#cheapest();
+  }
+
   /** The lowest price of a CPU, whether it can be had now or not. */
   #cheapest(): number {
     const prices = [...this.#types.values()].map(
--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -30,6 +30,15 @@
   (need.zone === null || need.zone === bin.zone) &&
   (need.types === null || need.types.includes(bin.type));
 
+const binOf = ({ type, zone, spot }: Pick<Offer, "type" | "zone" | "spot">): Bin => ({
+  cpus: type.cpus,
+  gpus: type.gpus,
+  memGb: type.memGb,
+  type: type.name,
+  zone,
+  spot,
+});
+
 const take = (bin: Bin, need: Need): void => {
   bin.cpus -= need.cpus;
   bin.gpus -= need.gpus;
@@ -48,55 +57,46 @@
 
 /**
  * What to rent so that the waiting tasks, beyond those that machines already booting will take,
- * find room: for each shape the offer that is cheapest per task.
+ * find room: for each shape the offer that is cheapest per task. Of one offer no more than `most`,
+ * which is what one request may ask for: the next-cheapest offers are asked at the same time, since
+ * nobody knows how much of each there is.
  */
 export function plan(
   needs: readonly Need[],
   booting: readonly ListedMachine[],
   types: ReadonlyMap<string, MachineType>,
   offers: readonly Offer[],
+  most: number,
 ): Wish[] {
-  const bins: Bin[] = [];
+  let bins: Bin[] = [];
   for (const machine of booting) {
     const type = types.get(machine.type);
-    if (type !== undefined) {
-      bins.push({ ...type, type: machine.type, zone: machine.zone, spot: machine.spot });
-    }
+    if (type !== undefined) bins.push(binOf({ ...machine, type }));
   }
   const wishes = new Map<Offer, number>();
   // Large tasks first: small ones fill what is left.
   for (const need of [...needs].sort((a, b) => b.cpus - a.cpus || b.memGb - a.memGb)) {
     let left = need.count;
-    for (const bin of bins)
+    for (const bin of bins) {
       while (left > 0 && fits(bin, need)) {
         take(bin, need);
         left--;
       }
-    if (left === 0) continue;
-    let best: Offer | null = null;
-    let bestPrice = Number.POSITIVE_INFINITY;
-    for (const offer of offers) {
-      const probe: Bin = {
-        ...offer.type,
-        type: offer.type.name,
-        zone: offer.zone,
-        spot: offer.spot,
-      };
-      if (!fits(probe, need)) continue;
-      const price = offer.price / Math.min(tasksPer(offer.type, need), left);
-      if (price < bestPrice) {
-        best = offer;
-        bestPrice = price;
-      }
     }
-    if (best === null) continue;
-    while (left > 0) {
-      const bin: Bin = { ...best.type, type: best.type.name, zone: best.zone, spot: best.spot };
-      bins.push(bin);
-      wishes.set(best, (wishes.get(best) ?? 0) + 1);
-      while (left > 0 && fits(bin, need)) {
-        take(bin, need);
-        left--;
+    bins = bins.filter(({ cpus, gpus }) => cpus > 0 || gpus > 0);
+    const usable = offers
+      .filter((offer) => fits(binOf(offer), need))
+      .map((offer) => ({ offer, price: offer.price / Math.min(tasksPer(offer.type, need), left) }))
+      .sort((a, b) => a.price - b.price);
+    for (const { offer } of usable) {
+      for (let n = wishes.get(offer) ?? 0; left > 0 && n < most; n++) {
+        const bin = binOf(offer);
+        bins.push(bin);
+        wishes.set(offer, n + 1);
+        while (left > 0 && fits(bin, need)) {
+          take(bin, need);
+          left--;
+        }
       }
     }
   }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,6 +1,6 @@
 import { type Clock, sleep } from "./clock.js";
 import { Fleet } from "./cloud/fleet.js";
-import { type Amounts, Tree, within } from "./fair/share.js";
+import { type Amounts, minus, Tree, within } from "./fair/share.js";
 import type { Caller } from "./http/client.js";
 import { type Reply, type Route, type Router, retryLater } from "./http/server.js";
 import {
@@ -68,6 +68,9 @@
   readonly #guarantees: Map<string, Amounts>;
   readonly #targets = new Map<string, number>();
   readonly #openJobs = new Map<string, Header>();
+  /** Those of them that are within their team's guarantee; null when it has to be found anew. */
+  #inside: Set<string> | null = null;
+  readonly #gone = new Set<string>();
   #types = new Map<string, MachineType>();
   #fleet: Fleet | null = null;
   /** When anyone outside last asked us anything: the load balancer does so every second. */
@@ -116,14 +119,30 @@
     );
     this.#mirror.on("w/j/", ({ key, value }) => {
       if (!isHeader(value)) return;
-      if (value.status === "open") this.#openJobs.set(key, value);
-      else this.#openJobs.delete(key);
+      const id = key.slice(4);
+      if (value.status !== "open") {
+        if (this.#openJobs.delete(id)) this.#inside = null;
+      } else {
+        if (!this.#openJobs.has(id)) this.#inside = null;
+        this.#openJobs.set(id, value);
+      }
       for (const owner of this.#parts.values()) {
-        owner.tell({ kind: "header", id: key.slice(4), header: value });
+        owner.tell({ kind: "header", id, header: value });
+      }
+    });
+    this.#mirror.on(keys.node(""), () => {
+      // Survivors may use what the others do not.
+      let serving = 0;
+      for (const { name } of this.#layout.members) {
+        if (this.#mirror.rows.has(keys.node(name))) serving++;
       }
+      this.#store.divide(serving);
     });
-    this.#mirror.on("w/g/", ({ key }) => {
-      for (const owner of this.#parts.values()) owner.tell({ kind: "gone", machine: key.slice(4) });
+    this.#mirror.on("w/g/", ({ value }) => {
+      if (!Array.isArray(value)) return;
+      const machines = value.map(String);
+      for (const machine of machines) this.#gone.add(machine);
+      for (const owner of this.#parts.values()) owner.tell({ kind: "gone", machines });
     });
     this.#mirror.on("w/s/", ({ key, value }) => {
       if (isSummary(value)) this.#hear(Number(key.slice(4)), value);
@@ -191,7 +210,7 @@
     this.#log.info({ part: index, token }, "part claimed");
     while (held()) {
       try {
-        const { rows } = await this.#store.list(keys.chunks(index));
+        const { rows } = await this.#store.list(keys.records(index));
         await this.#mirror.reached(token);
         if (!held()) return;
         const part = new Part(
@@ -206,13 +225,14 @@
             types: () => this.#types,
             newTree: () => new Tree(this.#tuning.groups),
             ...this.#tuning.preemption,
+            parts: this.#layout.parts,
             partsOf: (zone) => this.#layout.partsOf(zone),
             limits: this.#limits,
             summaries: this.#summaries,
             metrics: this.#metrics,
-            guarantees: this.#guarantees,
             targets: this.#targets,
-            openJobs: () => this.#openJobs.values(),
+            gone: this.#gone,
+            guaranteed: () => this.#guaranteed(),
             order: (address, session, commands) =>
               this.#links.order(address, ordersBody(token, session, commands)),
             announce: (summary) => {
@@ -271,6 +291,24 @@
     this.#fleet = null;
   }
 
+  /**
+   * Jobs within their team's guarantee: they fit into it together with the team's earlier
+   * unfinished jobs, wherever those run. Such jobs should not have to wait for other teams.
+   */
+  #guaranteed(): ReadonlySet<string> {
+    if (this.#inside !== null) return this.#inside;
+    this.#inside = new Set();
+    const left = new Map(this.#guarantees);
+    for (const [id, { spec }] of [...this.#openJobs].sort(([, a], [, b]) => a.at - b.at)) {
+      const rest = spec === undefined ? undefined : left.get(spec.team);
+      if (spec === undefined || rest === undefined) continue;
+      const size = { cpus: spec.cpus * spec.tasks, gpus: spec.gpus * spec.tasks };
+      if (within(size, rest)) this.#inside.add(id);
+      left.set(spec.team, minus(rest, size));
+    }
+    return this.#inside;
+  }
+
   // ---- requests --------------------------------------------------------------------------
 
   #routes(): Router {
@@ -398,7 +436,8 @@
           const known = await this.#current(id);
           if (known === null) return { status: 422, body: { error: never } };
         } else {
-          if (!this.#store.writes.take(1)) return retryLater(429, "too many changes");
+          // Users are few and come first; what the service refuses is answered with 503.
+          this.#store.writes.force(1);
           const header = this.#newHeader(spec);
           const result = await this.#store.transact(
             [{ key: keys.job(id), version: 0 }],
@@ -515,11 +554,15 @@
         if (header.status !== "open") {
           return { status: 200, body: statusBody(id, header.status) };
         }
-        if (!this.#store.writes.take(1)) return retryLater(429, "too many changes");
+        this.#store.writes.force(2);
         const next: Header = { ...header, status: "cancelled" };
         const result = await this.#store.transact(
           [{ key: keys.job(id), version }],
-          [{ put: keys.job(id), value: next }],
+          [
+            { put: keys.job(id), value: next },
+            // Placements that do not know of it yet depend on this key's former version.
+            { put: keys.cancels, value: id },
+          ],
         );
         if (result.ok) {
           this.#mirror.apply({
--- a/src/fair/preempt.ts
+++ b/src/fair/preempt.ts
@@ -9,6 +9,8 @@
   size: Amounts;
   /** Saved work first, among otherwise equal ones. */
   loss: number;
+  /** It saves when it is stopped, and loses next to nothing. */
+  saves: boolean;
 }
 
 export interface Asker {
@@ -24,6 +26,8 @@
    */
   patience: number;
   evenPatience: number;
+  /** It may still be in time: inside its team it need not wait for what loses no work. */
+  urgent: boolean;
 }
 
 export type Reason = "priority" | "reclaim" | "fair" | "greedy";
@@ -33,6 +37,18 @@
   reason: Reason;
 }
 
+/** The groups to compare, when the victim's team borrows on all of its way up to them. */
+function blamed(tree: Tree, asker: string, victim: string): { x: string; y: string } | null {
+  const groups = tree.siblings(asker, victim);
+  if (groups === null) return null;
+  // Someone who uses only what is guaranteed, anywhere on the way up, is not to blame.
+  for (const group of tree.path(victim)) {
+    if (!tree.borrows(group)) return null;
+    if (group === groups.y) break;
+  }
+  return groups;
+}
+
 /**
  * Why `victim` may be stopped for `asker`, or null. `reclaim` is S1 of KEP-1714, `fair` S2-a and
  * `greedy` S2-b; `priority` is what PROTOCOL allows inside a team.
@@ -40,15 +56,11 @@
 export function mayStop(tree: Tree, asker: Asker, victim: Victim): Reason | null {
   const affordable = asker.entitled || victim.loss <= asker.patience;
   if (victim.team === asker.team) {
-    return affordable && victim.rank < asker.rank ? "priority" : null;
+    const cheap = asker.urgent && victim.saves;
+    return (affordable || cheap) && victim.rank < asker.rank ? "priority" : null;
   }
-  const groups = tree.siblings(asker.team, victim.team);
+  const groups = blamed(tree, asker.team, victim.team);
   if (groups === null) return null;
-  // Someone who uses only what is guaranteed, anywhere on the way up, is not to blame.
-  for (const group of tree.path(victim.team)) {
-    if (!tree.borrows(group)) return null;
-    if (group === groups.y) break;
-  }
   if (!tree.borrows(groups.x, asker.size)) return affordable ? "reclaim" : null;
   if (victim.loss > asker.evenPatience) return null;
   const mine = tree.share(groups.x, asker.size);
@@ -61,6 +73,13 @@
   return null;
 }
 
+/** Whether any task of another team can be stopped for `asker` at all: a quick look before others. */
+export function mayConcern(tree: Tree, asker: Asker, team: string): boolean {
+  const groups = blamed(tree, asker.team, team);
+  if (groups === null) return false;
+  return !tree.borrows(groups.x, asker.size) || asker.evenPatience >= 0;
+}
+
 /**
  * Picks what to stop so that `fits` becomes true: from the highest share (C1), then the lowest
  * priority (C2), then the smallest (C3). S2-b is used only when nothing else is left. Picks that
--- a/src/fair/share.ts
+++ b/src/fair/share.ts
@@ -28,12 +28,14 @@
 }
 
 export const ROOT = "";
+const NOTHING: Amounts = { cpus: 0, gpus: 0 };
 
 /** The tree of teams with their use. Use is counted at every level from a team to the root. */
 export class Tree {
   readonly #groups = new Map<string, Group>();
   readonly #paths = new Map<string, string[]>();
   readonly #use = new Map<string, Amounts>();
+  readonly #siblings = new Map<string, Map<string, { x: string; y: string } | null>>();
 
   constructor(groups: Group[]) {
     for (const group of groups) this.#groups.set(group.name, group);
@@ -57,7 +59,7 @@
   }
 
   use(group: string): Amounts {
-    return this.#use.get(group) ?? { cpus: 0, gpus: 0 };
+    return this.#use.get(group) ?? NOTHING;
   }
 
   charge(team: string, amounts: Amounts, sign: 1 | -1 = 1): void {
@@ -68,9 +70,13 @@
     }
   }
 
-  borrows(group: string, extra: Amounts = { cpus: 0, gpus: 0 }): boolean {
+  borrows(group: string, extra: Amounts = NOTHING): boolean {
     const { nominal } = this.#groups.get(group)!;
-    return !within(add(this.use(group), extra), nominal);
+    const use = this.use(group);
+    return (
+      use.cpus + extra.cpus > nominal.cpus + EPSILON ||
+      use.gpus + extra.gpus > nominal.gpus + EPSILON
+    );
   }
 
   /**
@@ -107,6 +113,20 @@
 
   /** The sibling groups, below the lowest common ancestor, that hold `x` and `y`. */
   siblings(x: string, y: string): { x: string; y: string } | null {
+    let known = this.#siblings.get(x);
+    if (known === undefined) {
+      known = new Map();
+      this.#siblings.set(x, known);
+    }
+    let pair = known.get(y);
+    if (pair === undefined) {
+      pair = this.#findSiblings(x, y);
+      known.set(y, pair);
+    }
+    return pair;
+  }
+
+  #findSiblings(x: string, y: string): { x: string; y: string } | null {
     const ancestors = new Set(this.path(x));
     const path = this.path(y);
     const at = path.findIndex((group) => ancestors.has(group));
--- a/src/jobs/chunk.ts
+++ b/src/jobs/chunk.ts
@@ -1,14 +1,17 @@
-/** The record of a chunk of tasks, as kept in the store: written by its part's owner alone. */
-export interface ChunkRecord {
+import type { JobSpec } from "../wire/jobs.js";
+
+/** What the store keeps of a chunk of tasks: written by its part's owner alone. */
+export interface ChunkState {
   /** Highest attempt number given out so far. */
-  a: number;
+  attempts: number;
   /** Completed tasks as ranges, relative to the first task: `0-3,7`. */
-  d: string;
-  /** Placed tasks, proved gone not yet: index -> [attempt, machine]. */
-  l: Record<string, [number, string]>;
+  done: string;
+  /** Placed tasks, proved gone not yet. */
+  live: { index: number; attempt: number; machine: string }[];
 }
 
 export interface Live {
+  readonly chunk: Chunk;
   readonly task: string;
   readonly index: number;
   readonly attempt: number;
@@ -31,12 +34,15 @@
   readonly done: Uint8Array;
   doneCount = 0;
   readonly live = new Map<number, Live>();
-  /** Version of the record in the store; 0 when there is none. */
-  stamp = 0;
+  /** The page of the store that holds it; null while there is nothing to keep. */
+  page: number | null = null;
+  /** Version of what it brought along from another part, until that is in a page; else 0. */
+  handover = 0;
   /** Counts changes in memory; `saved` is the last one known to be in the store. */
   version = 0;
   saved = 0;
-  saving = false;
+  /** The version that contains the newest placement. */
+  placed = 0;
   /** Tasks before this one are all placed or done. */
   cursor = 0;
   /** The part that it is being handed to; nothing of it is placed meanwhile. */
@@ -44,6 +50,7 @@
 
   constructor(
     readonly job: string,
+    readonly spec: JobSpec,
     readonly index: number,
     readonly first: number,
     readonly size: number,
@@ -75,7 +82,9 @@
   place(index: number, machine: string, now: number): Live {
     this.version++;
     this.attempts++;
+    this.placed = this.version;
     const live: Live = {
+      chunk: this,
       task: `${this.job}/${this.first + index}`,
       index,
       attempt: this.attempts,
@@ -104,26 +113,29 @@
     }
   }
 
-  record(): ChunkRecord {
-    const l: ChunkRecord["l"] = {};
-    for (const live of this.live.values()) l[live.index] = [live.attempt, live.machine];
-    return { a: this.attempts, d: ranges(this.done), l };
+  get state(): ChunkState {
+    const live = [...this.live.values()].map(({ index, attempt, machine }) => ({
+      index,
+      attempt,
+      machine,
+    }));
+    return { attempts: this.attempts, done: ranges(this.done), live };
   }
 
-  load(record: ChunkRecord, stamp: number, now: number): void {
-    this.stamp = stamp;
-    this.attempts = record.a;
-    for (const range of record.d === "" ? [] : record.d.split(",")) {
+  load(state: ChunkState, now: number): void {
+    this.attempts = state.attempts;
+    for (const range of state.done === "" ? [] : state.done.split(",")) {
       const [from, to] = range.split("-").map(Number) as [number, number?];
       for (let i = from; i <= (to ?? from) && i < this.size; i++) {
         if (this.done[i] === 0) this.doneCount++;
         this.done[i] = 1;
       }
     }
-    for (const [index, [attempt, machine]] of Object.entries(record.l)) {
-      this.live.set(Number(index), {
-        task: `${this.job}/${this.first + Number(index)}`,
-        index: Number(index),
+    for (const { index, attempt, machine } of state.live) {
+      this.live.set(index, {
+        chunk: this,
+        task: `${this.job}/${this.first + index}`,
+        index,
         attempt,
         machine,
         version: 0,
@@ -147,9 +159,3 @@
   }
   return out.join(",");
 }
-
-export function isChunkRecord(value: unknown): value is ChunkRecord {
-  return (
-    typeof value === "object" && value !== null && "a" in value && "d" in value && "l" in value
-  );
-}
--- /dev/null
+++ b/src/jobs/page.ts
@@ -0,0 +1,48 @@
+import type { ChunkState } from "./chunk.js";
+
+/**
+ * One value of the store with the states of many chunks, so that one change saves them all.
+ * Machines are named once a page: `l` lists `task.attempt.machine`, joined by commas.
+ */
+export interface PageRecord {
+  m: string[];
+  c: Record<string, [attempts: number, done: string, l: string]>;
+}
+
+export const chunkName = (job: string, index: number): string => `${job}/${index}`;
+
+export function encodePage(states: Iterable<[name: string, state: ChunkState]>): PageRecord {
+  const numbers = new Map<string, number>();
+  const c: PageRecord["c"] = {};
+  for (const [name, { attempts, done, live }] of states) {
+    const items: string[] = [];
+    for (const { index, attempt, machine } of live) {
+      let number = numbers.get(machine);
+      if (number === undefined) {
+        number = numbers.size;
+        numbers.set(machine, number);
+      }
+      items.push(`${index}.${attempt}.${number}`);
+    }
+    c[name] = [attempts, done, items.join(",")];
+  }
+  return { m: [...numbers.keys()], c };
+}
+
+export function decodePage({ m, c }: PageRecord): Map<string, ChunkState> {
+  const states = new Map<string, ChunkState>();
+  for (const [name, [attempts, done, l]] of Object.entries(c)) {
+    const live = (l === "" ? [] : l.split(",")).map((item) => {
+      const [index, attempt, number] = item.split(".").map(Number) as [number, number, number];
+      return { index, attempt, machine: m[number]! };
+    });
+    states.set(name, { attempts, done, live });
+  }
+  return states;
+}
+
+/** What the state service counts for a value. */
+export const sizeOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
+export const isPage = (value: unknown): value is PageRecord =>
+  typeof value === "object" && value !== null && "m" in value && "c" in value;
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -37,7 +37,8 @@
   }
 
   async #load(): Promise<void> {
-    const { Counter, Histogram, Registry } = await import("prom-client");
+    // The default export is what a CommonJS module exports, in the bundle as well.
+    const { Counter, Histogram, Registry } = (await import("prom-client")).default;
     const registry = new Registry();
     this.#loaded = {
       registry,
--- a/src/node.ts
+++ b/src/node.ts
@@ -37,9 +37,6 @@
     const cluster = clusterOf(settings);
     const leaseMs = params.workers.lease_s * 1000;
     const reportMs = params.workers.report_s * 1000;
-    // A controller may use more than its even part of the budgets: the others are rarely busy
-    // at the same moment, and what the service refuses is not executed.
-    const part = Math.min(1, 1.5 / cluster.length);
     this.#state = new HttpClient(
       services.state,
       Math.max(4, Math.floor(params.quota.max_sockets / 20)),
@@ -50,8 +47,8 @@
     const store = new StoreClient(
       this.#state,
       {
-        rps: params.state.rps * part,
-        writeRps: params.state.write_rps * part,
+        rps: params.state.rps,
+        writeRps: params.state.write_rps,
         ops: params.state.txn_ops,
         conditions: params.state.txn_ops * 4,
         valueBytes: params.state.value_kb * 1024,
@@ -60,6 +57,7 @@
       clock,
       reportMs,
     );
+    store.divide(cluster.length);
     this.#controller = new Controller({
       settings,
       tuning,
--- /dev/null
+++ b/src/part/context.ts
@@ -0,0 +1,47 @@
+import type { Clock } from "../clock.js";
+import type { Amounts, Tree } from "../fair/share.js";
+import type { Log } from "../log.js";
+import type { Metrics } from "../metrics.js";
+import type { Mirror } from "../state/mirror.js";
+import type { Store } from "../state/store.js";
+import type { MachineType } from "../wire/cloud.js";
+import type * as wire from "../wire/workers.js";
+import type { Summaries, Summary } from "./summary.js";
+
+/** What the owner of a part gets from the controller it runs in. */
+export interface PartContext {
+  index: number;
+  /** How many parts there are. */
+  parts: number;
+  token: number;
+  store: Store;
+  mirror: Mirror;
+  clock: Clock;
+  log: Log;
+  /** Whether our lease cannot have ended yet. */
+  valid(): boolean;
+  types(): ReadonlyMap<string, MachineType>;
+  newTree(): Tree;
+  /** Whether shares are evened out, and how many times a loss that takes in waiting. */
+  evenOut: boolean;
+  patience: number;
+  /** Parts whose machines may be in a zone. */
+  partsOf(zone: string): number[];
+  limits: ReadonlyMap<string, Amounts>;
+  summaries: Summaries;
+  metrics: Metrics;
+  /** Machines that the cloud has confirmed to be gone. */
+  gone: ReadonlySet<string>;
+  /** Ids of the jobs of all parts that are within their team's guarantee. */
+  guaranteed(): ReadonlySet<string>;
+  /** By class, when jobs without a deadline of their own should be finished. */
+  targets: ReadonlyMap<string, number>;
+  /** Sends commands straight to a worker; whether they arrive shows in its reports. */
+  order(address: string, session: number, commands: wire.Command[]): void;
+  /** Tells the other controllers, and our own, how this part stands. */
+  announce(summary: Summary): void;
+  reportMs: number;
+  leaseMs: number;
+  /** Our claim is gone: stop at once. */
+  lost(why: string): void;
+}
--- /dev/null
+++ b/src/part/job.ts
@@ -0,0 +1,85 @@
+import type { Chunk } from "../jobs/chunk.js";
+import type { Header } from "../jobs/header.js";
+import { keys } from "../state/keys.js";
+import type { Mirror } from "../state/mirror.js";
+import type { JobSpec } from "../wire/jobs.js";
+
+/**
+ * Estimates are often wrong by half (PROTOCOL): a job counts as too late only when even half of
+ * its estimate does not fit before it is due.
+ */
+const HOPE = 0.5;
+
+/** A job as far as one part has chunks of it. */
+export class Job {
+  readonly chunks = new Map<number, Chunk>();
+  readonly key: string;
+  /** When it should be complete, by the time of day; infinity if nobody said. */
+  readonly due: number;
+  /** Failures in a row, on whatever machine. */
+  failures = 0;
+  notBefore = 0;
+
+  constructor(
+    readonly id: string,
+    readonly spec: JobSpec,
+    /** Time of day of acceptance. */
+    readonly at: number,
+    readonly mirror: Mirror,
+    public waitingSince: number,
+    /** By when jobs of its class should be finished, seconds after submission. */
+    targetS: number | null,
+  ) {
+    this.key = keys.job(id);
+    const afterS = spec.deadlineS ?? targetS;
+    this.due = afterS === null ? Number.POSITIVE_INFINITY : at + afterS * 1000;
+  }
+
+  /**
+   * Always what the mirror has, together with its version. A copy of our own once went back to
+   * our last commit when its answer came after news of a later one; written on condition of that
+   * later version it undid a move, and a chunk had two owners.
+   */
+  get header(): Header {
+    return this.mirror.rows.get(this.key)!.value as Header;
+  }
+
+  get open(): boolean {
+    return this.header.status === "open";
+  }
+
+  /** Tasks that are neither done nor placed. */
+  get waiting(): number {
+    let count = 0;
+    for (const chunk of this.chunks.values()) count += chunk.pending;
+    return count;
+  }
+
+  /** Those of them that may be placed here: not what is being handed to another part. */
+  get pending(): number {
+    let count = 0;
+    for (const chunk of this.chunks.values()) if (chunk.movingTo === null) count += chunk.pending;
+    return count;
+  }
+
+  /** Whether it cannot be in time any more, by the time of day. */
+  late(wall: number): boolean {
+    return this.due - wall <= this.spec.estimateS * 1000 * HOPE;
+  }
+
+  get live(): boolean {
+    for (const chunk of this.chunks.values()) if (chunk.live.size > 0) return true;
+    return false;
+  }
+}
+
+/**
+ * Inside a team: priority; then jobs that can still be in time, by when they are due; then the
+ * rest by age. In a backlog, going by the due time alone makes one late job after another.
+ */
+export function byUrgency(a: Job, b: Job, now: number): number {
+  if (a.spec.rank !== b.spec.rank) return b.spec.rank - a.spec.rank;
+  const late = a.late(now);
+  if (late !== b.late(now)) return late ? 1 : -1;
+  return !late && a.due !== b.due ? a.due - b.due : a.at - b.at;
+}
--- /dev/null
+++ b/src/part/ledger.ts
@@ -0,0 +1,163 @@
+import { type Amounts, add } from "../fair/share.js";
+import { Chunk, type ChunkState, type Live } from "../jobs/chunk.js";
+import { type Header, partChar } from "../jobs/header.js";
+import { type JobSpec, PRIORITIES } from "../wire/jobs.js";
+import { Machine } from "../workers/machine.js";
+import type { PartContext } from "./context.js";
+import { Job } from "./job.js";
+
+export interface Found {
+  job: Job;
+  chunk: Chunk;
+  index: number;
+}
+
+/** By priority, from the lowest. */
+export interface Demand {
+  cpus: number[];
+  gpus: number[];
+  /** The CPUs of the largest task that waits. */
+  largest: number;
+}
+
+export const noDemand = (): Demand => ({
+  cpus: PRIORITIES.map(() => 0),
+  gpus: PRIORITIES.map(() => 0),
+  largest: 0,
+});
+
+export const ZERO: Amounts = { cpus: 0, gpus: 0 };
+
+/**
+ * The part's jobs and machines, and which task is where. A task is placed and released here and
+ * nowhere else, so that chunks, machines and the teams' use cannot disagree.
+ */
+export class Ledger {
+  readonly machines = new Map<string, Machine>();
+  readonly jobs = new Map<string, Job>();
+  /** By team: tasks placed and not proved gone. */
+  readonly use = new Map<string, Amounts>();
+
+  constructor(readonly ctx: PartContext) {}
+
+  /** The chunks of a job that are ours by its header and that are not here yet. */
+  missing(id: string, header: Header): { job: Job; chunks: number[] } | null {
+    if (header.spec === undefined) return null;
+    const mine = partChar(this.ctx.index);
+    if (!header.owners.includes(mine)) return null;
+    let job = this.jobs.get(id);
+    if (job === undefined) {
+      const { mirror, clock, targets } = this.ctx;
+      const target = targets.get(header.spec.class) ?? null;
+      job = new Job(id, header.spec, header.at, mirror, clock.now(), target);
+      this.jobs.set(id, job);
+    }
+    const chunks: number[] = [];
+    for (let i = 0; i < header.owners.length; i++) {
+      if (header.owners[i] === mine && !job.chunks.has(i)) chunks.push(i);
+    }
+    return { job, chunks };
+  }
+
+  adopt(job: Job, index: number, state: ChunkState | null): Chunk {
+    const { chunkSize, tasks } = job.header;
+    const first = index * chunkSize;
+    const size = Math.min(chunkSize, tasks - first);
+    const now = this.ctx.clock.now();
+    const chunk = new Chunk(job.id, job.spec, index, first, size, now);
+    if (state !== null) {
+      chunk.load(state, now);
+      for (const live of chunk.live.values()) {
+        this.machine(live.machine).live.set(live.task, live);
+        this.#charge(job.spec, 1);
+      }
+    }
+    job.chunks.set(index, chunk);
+    return chunk;
+  }
+
+  drop(chunk: Chunk): void {
+    const job = this.jobs.get(chunk.job);
+    if (job === undefined || !job.chunks.delete(chunk.index)) return;
+    if (job.chunks.size === 0) this.jobs.delete(chunk.job);
+  }
+
+  find(task: string): Found | null {
+    const slash = task.lastIndexOf("/");
+    const job = this.jobs.get(task.slice(0, slash));
+    if (job === undefined) return null;
+    const number = Number(task.slice(slash + 1));
+    const chunk = job.chunks.get(Math.floor(number / job.header.chunkSize));
+    return chunk === undefined ? null : { job, chunk, index: number - chunk.first };
+  }
+
+  machine(id: string): Machine {
+    let machine = this.machines.get(id);
+    if (machine === undefined) {
+      machine = new Machine(id, this.ctx.clock.now());
+      this.machines.set(id, machine);
+    }
+    return machine;
+  }
+
+  place(job: Job, chunk: Chunk, index: number, machine: Machine): void {
+    const now = this.ctx.clock.now();
+    const live = chunk.place(index, machine.id, now);
+    machine.live.set(live.task, live);
+    if (job.spec.image !== null) machine.images.add(job.spec.image);
+    machine.touched();
+    const kept = machine.reserved.get(job.id);
+    if (kept !== undefined && --kept.tasks === 0) machine.reserved.delete(job.id);
+    this.#charge(job.spec, 1);
+    // It is being served: what is left of it starts to wait anew.
+    job.waitingSince = now;
+  }
+
+  /** The task is proved gone; says whether it had been counted here until now. */
+  release(live: Live, completed: boolean): boolean {
+    const { chunk } = live;
+    if (chunk.live.get(live.index) !== live) return false;
+    const now = this.ctx.clock.now();
+    chunk.release(live, completed);
+    this.#charge(chunk.spec, -1);
+    const machine = this.machines.get(live.machine);
+    if (machine !== undefined) {
+      machine.live.delete(live.task);
+      machine.touched();
+      if (machine.live.size === 0) machine.idleSince = now;
+    }
+    const job = this.jobs.get(chunk.job);
+    if (job !== undefined && !completed) job.waitingSince = now;
+    return true;
+  }
+
+  /** CPUs of all tasks that wait here. */
+  get waitingCpus(): number {
+    let sum = 0;
+    for (const job of this.jobs.values()) if (job.open) sum += job.waiting * job.spec.cpus;
+    return Math.round(sum);
+  }
+
+  /** By team, what its tasks here use and wait for, by priority from the lowest. */
+  demand(): Map<string, Demand> {
+    const sums = new Map<string, Demand>();
+    for (const { spec, waiting, open, chunks } of this.jobs.values()) {
+      let count = open ? waiting : 0;
+      for (const chunk of chunks.values()) count += chunk.live.size;
+      let sum = sums.get(spec.team);
+      if (sum === undefined) {
+        sum = noDemand();
+        sums.set(spec.team, sum);
+      }
+      sum.cpus[spec.rank]! += count * spec.cpus;
+      sum.gpus[spec.rank]! += count * spec.gpus;
+      if (open && waiting > 0) sum.largest = Math.max(sum.largest, spec.cpus);
+    }
+    return sums;
+  }
+
+  #charge(spec: JobSpec, sign: 1 | -1): void {
+    const amounts = { cpus: sign * spec.cpus, gpus: sign * spec.gpus };
+    this.use.set(spec.team, add(this.use.get(spec.team) ?? ZERO, amounts));
+  }
+}
--- /dev/null
+++ b/src/part/placing.ts
@@ -0,0 +1,240 @@
+import { compareShares, type Tree } from "../fair/share.js";
+import type { Chunk } from "../jobs/chunk.js";
+import type { MachineType } from "../wire/cloud.js";
+import type { JobSpec } from "../wire/jobs.js";
+import {
+  allowed,
+  fitsRoom,
+  give,
+  type Machine,
+  unreserved,
+  zoneAllowed,
+} from "../workers/machine.js";
+import type { PartContext } from "./context.js";
+import { byUrgency, type Job } from "./job.js";
+import type { Ledger } from "./ledger.js";
+import type { Quota } from "./quota.js";
+
+/** What one pass over the waiting jobs works with. */
+export interface Pass {
+  now: number;
+  types: ReadonlyMap<string, MachineType>;
+  /** The machines that take tasks. */
+  machines: Machine[];
+  /** All teams' use, in all parts. */
+  tree: Tree;
+  guaranteed: ReadonlySet<string>;
+}
+
+export function usable(machine: Machine, ctx: PartContext): boolean {
+  return (
+    machine.current &&
+    machine.retired === null &&
+    machine.noticeS === null &&
+    // One that has missed two reports may be gone.
+    ctx.clock.now() - machine.lastSeen < 3 * ctx.reportMs
+  );
+}
+
+export function beginPass(ctx: PartContext, ledger: Ledger): Pass {
+  const tree = ctx.newTree();
+  for (const [part, summary] of ctx.summaries.all()) {
+    if (part === ctx.index) continue;
+    for (const [team, [cpus, gpus]] of Object.entries(summary.use)) {
+      tree.charge(team, { cpus, gpus });
+    }
+  }
+  for (const [team, use] of ledger.use) tree.charge(team, use);
+  return {
+    now: ctx.clock.now(),
+    types: ctx.types(),
+    machines: [...ledger.machines.values()].filter((machine) => usable(machine, ctx)),
+    tree,
+    guaranteed: ctx.guaranteed(),
+  };
+}
+
+/** Gives waiting tasks to machines that have room: the team with the lowest share first. */
+export class Placing {
+  /** Shapes of tasks that found no machine in this pass: room only shrinks while it lasts. */
+  readonly #hopeless = new Set<string>();
+  #last: { job: Job; machine: Machine } | null = null;
+
+  constructor(
+    readonly ctx: PartContext,
+    readonly ledger: Ledger,
+    readonly quota: Quota,
+  ) {}
+
+  /** Places what fits, and returns the jobs that are still waiting, the most urgent first. */
+  run(pass: Pass): Job[] {
+    const { now, machines, tree, guaranteed } = pass;
+    this.#hopeless.clear();
+    this.#last = null;
+    const queues = new Map<string, Job[]>();
+    for (const job of this.ledger.jobs.values()) {
+      if (job.notBefore > now || !job.open || job.pending === 0) continue;
+      const queue = queues.get(job.spec.team);
+      if (queue === undefined) queues.set(job.spec.team, [job]);
+      else queue.push(job);
+    }
+    for (const machine of machines) {
+      for (const [id, { until }] of machine.reserved) {
+        const job = this.ledger.jobs.get(id);
+        if (until < now || job === undefined || job.pending === 0) machine.reserved.delete(id);
+      }
+    }
+    const wall = this.ctx.clock.wall();
+    for (const queue of queues.values()) {
+      queue.sort((a, b) => {
+        const x = guaranteed.has(a.id);
+        return x === guaranteed.has(b.id) ? byUrgency(a, b, wall) : x ? -1 : 1;
+      });
+    }
+    const blocked: Job[] = [];
+    while (queues.size > 0) {
+      // The lowest share starts first.
+      let team = "";
+      let shares: number[] = [];
+      for (const name of queues.keys()) {
+        const own = tree.shares(name);
+        // Below their guarantees all shares are zero: then the one with the least of it.
+        const order = team === "" ? -1 : compareShares(own, shares);
+        if (order < 0 || (order === 0 && tree.filled(name) < tree.filled(team))) {
+          team = name;
+          shares = own;
+        }
+      }
+      const queue = queues.get(team)!;
+      const job = queue[0]!;
+      const placed = job.spec.kind === "gang" ? this.#gang(job, pass) : this.#one(job, pass);
+      if (placed) continue;
+      if (job.pending > 0) blocked.push(job);
+      queue.shift();
+      if (queue.length === 0) queues.delete(team);
+    }
+    return blocked;
+  }
+
+  #place(job: Job, chunk: Chunk, index: number, machine: Machine, { tree }: Pass): void {
+    this.ledger.place(job, chunk, index, machine);
+    tree.charge(job.spec.team, job.spec);
+  }
+
+  /** All waiting tasks of a gang, or none. */
+  #gang(job: Job, pass: Pass): boolean {
+    // The former attempt has to be over on all machines before all start once more.
+    if (job.live) return false;
+    const hosts = this.#gangHosts(job, pass);
+    if (hosts === null) return false;
+    for (const chunk of job.chunks.values()) {
+      for (let index = chunk.nextPending(); index !== null; index = chunk.nextPending()) {
+        this.#place(job, chunk, index, hosts.pop()!, pass);
+      }
+    }
+    return true;
+  }
+
+  /** A machine for every waiting task of a gang, or null when not all of them fit at once. */
+  #gangHosts(job: Job, { machines, types }: Pass): Machine[] | null {
+    const { spec, pending: count } = job;
+    if (count === 0 || !this.quota.fits(spec, count)) return null;
+    const zones = spec.oneZone ? [...new Set(machines.map(({ zone }) => zone))] : [null];
+    for (const zone of zones) {
+      const hosts: Machine[] = [];
+      const perZone = new Map<string, number>();
+      for (const machine of machines) {
+        if (!allowed(spec, machine) || (zone !== null && machine.zone !== zone)) continue;
+        const room = { ...unreserved(machine.room(types.get(machine.type)), machine, job.id) };
+        while (
+          hosts.length < count &&
+          fitsRoom(room, spec) &&
+          zoneAllowed(spec, machine.zone, perZone)
+        ) {
+          give(room, spec, -1);
+          hosts.push(machine);
+          perZone.set(machine.zone, (perZone.get(machine.zone) ?? 0) + 1);
+        }
+      }
+      if (hosts.length === count) return hosts;
+    }
+    return null;
+  }
+
+  /** The zones of a job's tasks that are placed. */
+  #zones(job: Job): Map<string, number> {
+    const zones = new Map<string, number>();
+    for (const chunk of job.chunks.values()) {
+      for (const live of chunk.live.values()) {
+        const zone = this.ledger.machines.get(live.machine)?.zone ?? "";
+        zones.set(zone, (zones.get(zone) ?? 0) + 1);
+      }
+    }
+    return zones;
+  }
+
+  #one(job: Job, pass: Pass): boolean {
+    const { spec } = job;
+    if (!this.quota.fits(spec)) return false;
+    // A job that keeps failing is tried with one task at a time.
+    if (job.failures > 1 && job.live) return false;
+    const machine = this.#again(job, pass) ?? this.#best(job, pass);
+    if (machine === null) return false;
+    for (const chunk of job.chunks.values()) {
+      const index = chunk.movingTo === null ? chunk.nextPending() : null;
+      if (index === null) continue;
+      this.#place(job, chunk, index, machine, pass);
+      this.#last = { job, machine };
+      return true;
+    }
+    return false;
+  }
+
+  /** The machine of the task before, which is the fullest of its kind and fuller now. */
+  #again(job: Job, { types }: Pass): Machine | null {
+    const { spec } = job;
+    if (this.#last?.job !== job || spec.oneZone || spec.spread) return null;
+    const { machine } = this.#last;
+    const room = unreserved(machine.room(types.get(machine.type)), machine, job.id);
+    return fitsRoom(room, spec) ? machine : null;
+  }
+
+  #best(job: Job, { machines, types, now, guaranteed }: Pass): Machine | null {
+    const { spec } = job;
+    const shape = shapeOf(spec);
+    const plain = !spec.oneZone && !spec.spread && job.failures === 0;
+    if (plain && this.#hopeless.has(shape)) {
+      if (!machines.some(({ reserved }) => reserved.has(job.id))) return null;
+    }
+    const entitled = guaranteed.has(job.id);
+    const zones = spec.oneZone || spec.spread ? this.#zones(job) : null;
+    let best: Machine | null = null;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const machine of machines) {
+      const free = machine.room(types.get(machine.type));
+      if (!fitsRoom(free, spec)) continue;
+      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
+      const room = unreserved(free, machine, job.id);
+      if (room !== free && !fitsRoom(room, spec)) continue;
+      if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
+      // The fullest cheap machine that has the image: keeps others free, to be used whole or
+      // returned, the dear ones first.
+      const cost =
+        room.cpus +
+        (machine.reserved.has(job.id) ? -10_000 : 0) +
+        // Starts travel in answers to reports: what must not wait goes where one is due.
+        (entitled ? 100 * (1 - Math.min(1, (now - machine.lastSeen) / this.ctx.reportMs)) : 0) +
+        (machine.spot ? 0 : 1000) +
+        (spec.image === null || machine.images.has(spec.image) ? 0 : 2000);
+      if (cost < bestCost) {
+        best = machine;
+        bestCost = cost;
+      }
+    }
+    if (best === null && plain) this.#hopeless.add(shape);
+    return best;
+  }
+}
+
+const shapeOf = ({ cpus, gpus, memGb, spot, types, zone }: JobSpec): string =>
+  `${cpus}/${gpus}/${memGb}/${spot}/${types?.join() ?? ""}/${zone ?? ""}`;
--- /dev/null
+++ b/src/part/preempting.ts
@@ -0,0 +1,347 @@
+import { type Asker, chooseVictims, mayConcern, type Pick, type Victim } from "../fair/preempt.js";
+import { add } from "../fair/share.js";
+import type { Live } from "../jobs/chunk.js";
+import { type JobSpec, PRIORITIES } from "../wire/jobs.js";
+import {
+  allowed,
+  fitsRoom,
+  give,
+  type Machine,
+  type Room,
+  unreserved,
+} from "../workers/machine.js";
+import type { PartContext } from "./context.js";
+import type { Job } from "./job.js";
+import type { Ledger } from "./ledger.js";
+import type { Pass } from "./placing.js";
+import type { Quota } from "./quota.js";
+import type { Workers } from "./workers.js";
+
+/** A task that may be stopped, or the tasks of a gang, which count whole (DESIGN). */
+interface Candidate extends Victim {
+  tasks: { live: Live; machine: Machine }[];
+  spec: JobSpec;
+}
+
+/** Tasks that are stopped for one waiting task at most, and waiting tasks looked at in one go. */
+const MOST_PICKS = 16;
+const MOST_ASKERS = 16;
+
+/** Makes room for jobs that have a right to it, by the rules of KEP-1714. */
+export class Preempting {
+  /** Room that is about to be free, and what this pass has given away of it. */
+  #rooms = new Map<Machine, Room>();
+  #candidates = new Map<string, Candidate>();
+  #byMachine = new Map<Machine, Candidate[]>();
+  #at = Number.NEGATIVE_INFINITY;
+  #evenedAt: number;
+
+  constructor(
+    readonly ctx: PartContext,
+    readonly ledger: Ledger,
+    readonly quota: Quota,
+    readonly workers: Workers,
+  ) {
+    this.#evenedAt = ctx.clock.now();
+  }
+
+  run(blocked: readonly Job[], pass: Pass): void {
+    const { now, machines, guaranteed } = pass;
+    // Commands reach a worker once a report: looking more often than that finds little new.
+    if (now - this.#at < this.ctx.reportMs / 8) return;
+    this.#at = now;
+    // Every part evens out by itself and sees the others' use a little late: all at once they
+    // would overshoot, and the next moment the other way round.
+    let even = this.ctx.evenOut && now - this.#evenedAt > this.ctx.leaseMs;
+    // What is within a guarantee does not wait; anything else gives room a chance to turn up.
+    const lowest = this.#lowestRanks();
+    const wall = this.ctx.clock.wall();
+    const askers = blocked.filter(
+      (job) =>
+        guaranteed.has(job.id) ||
+        now - job.waitingSince >= this.ctx.leaseMs ||
+        (!job.late(wall) && (lowest.get(job.spec.team) ?? job.spec.rank) < job.spec.rank),
+    );
+    if (askers.length === 0) return;
+    this.#collect(pass);
+    this.#freeQuota(blocked, pass);
+    const hopeless = new Set<string>();
+    let left = MOST_ASKERS;
+    for (const job of askers) {
+      const { spec } = job;
+      let { pending } = job;
+      for (const machine of machines) pending -= machine.reserved.get(job.id)?.tasks ?? 0;
+      if (pending <= 0) continue;
+      const together = spec.kind === "gang" ? pending : 1;
+      if (!this.quota.fits(spec, together)) continue;
+      const entitled = guaranteed.has(job.id);
+      const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs);
+      const asker: Asker = {
+        team: spec.team,
+        rank: spec.rank,
+        size: { cpus: spec.cpus * together, gpus: spec.gpus * together },
+        entitled,
+        patience,
+        // Nothing has a loss below zero.
+        evenPatience: even ? patience / this.ctx.patience : -1,
+        urgent: !job.late(wall),
+      };
+      // Another job like it, with the same rights, has just found nothing.
+      const like = entitled
+        ? `${spec.team}/${spec.rank}/${spec.cpus}/${spec.memGb}/${spec.spot}`
+        : "";
+      if (hopeless.has(like)) continue;
+      for (; pending > 0 && left > 0; pending -= together) {
+        left--;
+        const found =
+          together === 1 ? this.#onOne(job, asker, pass) : this.#onMany(job, asker, pass);
+        if (found === null) {
+          if (entitled) hopeless.add(like);
+          break;
+        }
+        for (const { victim, reason } of found.picks) {
+          if (reason === "fair" || reason === "greedy") {
+            even = false;
+            asker.evenPatience = -1;
+            this.#evenedAt = now;
+          }
+          this.#stop(this.#candidates.get(victim.id)!, reason, job, pass);
+        }
+        for (const machine of found.hosts) {
+          give(this.#rooms.get(machine)!, spec, -1);
+          const kept = machine.reserved.get(job.id);
+          if (kept !== undefined) kept.tasks++;
+          else machine.reserved.set(job.id, { tasks: 1, spec, until: now + this.ctx.leaseMs });
+        }
+        pass.tree.charge(spec.team, asker.size);
+      }
+      if (left === 0) return;
+    }
+  }
+
+  /** By team, the lowest priority of a task that saves when it is stopped. */
+  #lowestRanks(): Map<string, number> {
+    const lowest = new Map<string, number>();
+    for (const { spec, live } of this.ledger.jobs.values()) {
+      if (!live || spec.checkpointS === 0) continue;
+      lowest.set(spec.team, Math.min(lowest.get(spec.team) ?? spec.rank, spec.rank));
+    }
+    return lowest;
+  }
+
+  /**
+   * Where a team's limit is what its jobs wait for, other teams' tasks do not help: tasks of its
+   * own make room, those of lower priority that save when they are stopped. First those that have
+   * not begun, then those that have run longest, whose start has been of use.
+   */
+  #freeQuota(blocked: readonly Job[], pass: Pass): void {
+    const missing = new Map<string, { cpus: number; rank: number; job: Job | null }>();
+    const wall = this.ctx.clock.wall();
+    for (const job of blocked) {
+      const { spec } = job;
+      if (spec.kind !== "array" || job.late(wall) || this.quota.fits(spec)) continue;
+      const known = missing.get(spec.team);
+      if (known === undefined) {
+        missing.set(spec.team, { cpus: job.pending * spec.cpus, rank: spec.rank, job });
+      } else if (spec.rank >= known.rank) {
+        known.cpus += job.pending * spec.cpus;
+        known.rank = spec.rank;
+      }
+    }
+    // Other parts' tasks of higher priority may wait for quota that is used here.
+    for (const team of this.ctx.limits.keys()) {
+      if (missing.has(team)) continue;
+      for (let rank = 0; rank < PRIORITIES.length - 1; rank++) {
+        const cpus = this.quota.excess(team, rank);
+        if (cpus > 0) missing.set(team, { cpus, rank: rank + 1, job: null });
+      }
+    }
+    if (missing.size === 0) return;
+    // What has been stopped already will be free in a moment.
+    for (const machine of this.ledger.machines.values()) {
+      for (const { stop, chunk } of machine.live.values()) {
+        const wanted = stop === null ? undefined : missing.get(chunk.spec.team);
+        if (wanted !== undefined) wanted.cpus -= chunk.spec.cpus;
+      }
+    }
+    for (const [team, wanted] of missing) {
+      if (wanted.cpus <= 0) continue;
+      const begun = ({ tasks }: Candidate): number => {
+        const { live } = tasks[0]!;
+        return live.running ? live.since : Number.NEGATIVE_INFINITY;
+      };
+      const victims = [...this.#candidates.values()]
+        .filter((c) => c.team === team && c.saves && c.rank < wanted.rank)
+        .sort((a, b) => a.rank - b.rank || begun(a) - begun(b));
+      for (const victim of victims) {
+        if (wanted.cpus <= 0) break;
+        wanted.cpus -= victim.size.cpus;
+        this.#stop(victim, "priority", wanted.job, pass);
+      }
+    }
+  }
+
+  #collect({ machines, types, now }: Pass): void {
+    this.#rooms = new Map();
+    this.#candidates = new Map();
+    this.#byMachine = new Map();
+    for (const machine of machines) {
+      const room = { ...machine.room(types.get(machine.type)) };
+      const here: Candidate[] = [];
+      for (const live of machine.live.values()) {
+        const { spec } = live.chunk;
+        if (live.stop !== null) {
+          give(room, spec, 1);
+          continue;
+        }
+        if (live.seenAt === null) continue;
+        const kept =
+          spec.checkpointS > 0 ? (spec.saveS + spec.checkpointS) * 1000 : Number.POSITIVE_INFINITY;
+        // Stopping costs more than the work: it has to be started, and its image fetched, anew.
+        const loss = this.ctx.leaseMs + Math.min(now - live.since, kept);
+        const id = spec.kind === "gang" ? live.chunk.job : live.task;
+        let candidate = this.#candidates.get(id);
+        if (candidate === undefined) {
+          const { team, rank } = spec;
+          const saves = spec.checkpointS > 0;
+          const size = { cpus: 0, gpus: 0 };
+          candidate = { id, team, rank, size, loss: 0, saves, tasks: [], spec };
+          this.#candidates.set(id, candidate);
+        }
+        candidate.size = add(candidate.size, spec);
+        candidate.loss += loss;
+        candidate.tasks.push({ live, machine });
+        if (!here.includes(candidate)) here.push(candidate);
+      }
+      this.#rooms.set(machine, unreserved(room, machine, null));
+      this.#byMachine.set(machine, here);
+    }
+  }
+
+  /**
+   * For one task: the machine where the least deserving tasks make room for it. Candidates are
+   * ranked as in KEP-1714, but among those of one machine: the highest-ranked ones of the whole
+   * part are on as many machines, and stopping them makes no room for a large task on any.
+   */
+  #onOne(
+    job: Job,
+    asker: Asker,
+    { tree, machines }: Pass,
+  ): { hosts: Machine[]; picks: Pick[] } | null {
+    const { spec } = job;
+    const concerned = new Map<string, boolean>();
+    const concerns = ({ team, rank }: Candidate): boolean => {
+      if (team === asker.team) return rank < asker.rank;
+      let known = concerned.get(team);
+      if (known === undefined) {
+        known = mayConcern(tree, asker, team);
+        concerned.set(team, known);
+      }
+      return known;
+    };
+    let best: { hosts: Machine[]; picks: Pick[] } | null = null;
+    let bestCost: number[] = [];
+    for (const machine of machines) {
+      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
+      const room = this.#rooms.get(machine)!;
+      if (fitsRoom(room, spec)) return { hosts: [machine], picks: [] };
+      const here = this.#byMachine.get(machine)!.filter(concerns);
+      if (here.length === 0) continue;
+      const after = { ...room };
+      const freed = (victim: Victim, sign: 1 | -1): void => {
+        for (const task of this.#candidates.get(victim.id)!.tasks) {
+          if (task.machine === machine) give(after, task.live.chunk.spec, sign);
+        }
+      };
+      for (const victim of here) freed(victim, 1);
+      if (!fitsRoom(after, spec)) continue;
+      const picks = chooseVictims(
+        tree,
+        asker,
+        here,
+        (stopped) => {
+          Object.assign(after, room);
+          for (const id of stopped) freed(this.#candidates.get(id)!, 1);
+          return fitsRoom(after, spec);
+        },
+        MOST_PICKS,
+      );
+      if (picks.length === 0) continue;
+      const cost = this.#cost(picks, tree);
+      const order = best === null ? -1 : cost.findIndex((value, i) => value !== bestCost[i]);
+      if (best === null || (order >= 0 && cost[order]! < bestCost[order]!)) {
+        best = { hosts: [machine], picks };
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** Lower is better: the order of KEP-1714 for what has to be stopped together. */
+  #cost(picks: readonly Pick[], tree: Pass["tree"]): number[] {
+    const greedy = picks.some(({ reason }) => reason === "greedy") ? 1 : 0;
+    const share = Math.min(...picks.map(({ victim }) => tree.share(victim.team)));
+    const rank = Math.max(...picks.map(({ victim }) => victim.rank));
+    const cpus = picks.reduce((sum, { victim }) => sum + victim.size.cpus, 0);
+    const loss = picks.reduce((sum, { victim }) => sum + victim.loss, 0);
+    return [greedy, -share, rank, cpus, loss];
+  }
+
+  /** For a gang, whose tasks may be on any machines. */
+  #onMany(job: Job, asker: Asker, pass: Pass): { hosts: Machine[]; picks: Pick[] } | null {
+    const { spec } = job;
+    const count = Math.round(asker.size.cpus / Math.max(spec.cpus, 1e-9)) || job.pending;
+    const hosts = pass.machines.filter((machine) => allowed(spec, machine));
+    const place = (stopped: ReadonlySet<string>): Machine[] | null => {
+      const freed = new Map<Machine, Room>();
+      const roomOf = (machine: Machine): Room => {
+        let room = freed.get(machine);
+        if (room === undefined) {
+          room = { ...this.#rooms.get(machine)! };
+          freed.set(machine, room);
+        }
+        return room;
+      };
+      for (const id of stopped) {
+        const candidate = this.#candidates.get(id)!;
+        for (const { machine } of candidate.tasks) give(roomOf(machine), candidate.spec, 1);
+      }
+      const chosen: Machine[] = [];
+      for (const machine of hosts) {
+        while (chosen.length < count && fitsRoom(roomOf(machine), spec)) {
+          give(roomOf(machine), spec, -1);
+          chosen.push(machine);
+        }
+        if (chosen.length === count) return chosen;
+      }
+      return null;
+    };
+    const picks = chooseVictims(
+      pass.tree,
+      asker,
+      [...this.#candidates.values()],
+      (stopped) => place(stopped) !== null,
+      MOST_PICKS,
+    );
+    const chosen = place(new Set(picks.map(({ victim }) => victim.id)));
+    return chosen === null ? null : { hosts: chosen, picks };
+  }
+
+  /** Stops for a job of this part, or for one of the same team elsewhere. */
+  #stop(candidate: Candidate, reason: Pick["reason"], job: Job | null, { tree }: Pass): void {
+    const { id, spec, team, size, tasks } = candidate;
+    this.#candidates.delete(id);
+    const grace = spec.checkpointS > 0 ? spec.saveS + this.ctx.reportMs / 1000 : 0;
+    for (const { live, machine } of tasks) {
+      this.workers.stop(live, grace, reason);
+      give(this.#rooms.get(machine)!, spec, 1);
+      const here = this.#byMachine.get(machine)!;
+      const at = here.indexOf(candidate);
+      if (at >= 0) here.splice(at, 1);
+    }
+    tree.charge(team, size, -1);
+    const asker = job?.spec.team ?? team;
+    this.ctx.metrics.add({ kind: "preempted", team, by: asker, reason });
+    this.ctx.log.info({ task: id, team, for: job?.id, asker, reason }, "task preempted");
+  }
+}
--- /dev/null
+++ b/src/part/quota.ts
@@ -0,0 +1,163 @@
+import { type Amounts, add, EPSILON, minus, within } from "../fair/share.js";
+import {
+  freeOf,
+  isSliceRecord,
+  reslice,
+  type SliceRecord,
+  sliceOf,
+  smaller,
+  target,
+} from "../quota/slices.js";
+import { keys } from "../state/keys.js";
+import type { JobSpec } from "../wire/jobs.js";
+import type { PartContext } from "./context.js";
+import { type Demand, type Ledger, noDemand, ZERO } from "./ledger.js";
+
+/** One slice that is to be changed. */
+export interface SliceChange {
+  team: string;
+  key: string;
+  version: number;
+  record: SliceRecord;
+}
+
+/** This part's slices of the teams' limits, and how far its tasks fit into them. */
+export class Quota {
+  /** Committed slices; what a lowering in flight gives up is no longer counted. */
+  readonly #slices = new Map<string, Amounts>();
+  /** By team: the slice this part should have, and whether another part is short. */
+  readonly #fair = new Map<
+    string,
+    { low: Amounts; high: Amounts; elsewhere: boolean; own: Demand; rest: Demand }
+  >();
+  /** Teams that could not place a task for want of quota, in the last pass. */
+  readonly short = new Map<string, Amounts>();
+
+  constructor(
+    readonly ctx: PartContext,
+    readonly ledger: Ledger,
+  ) {
+    for (const team of ctx.limits.keys()) this.#slices.set(team, this.#known(team).own);
+  }
+
+  #known(team: string): { key: string; version: number; record: SliceRecord; own: Amounts } {
+    const key = keys.quota(team);
+    const row = this.ctx.mirror.rows.get(key);
+    const record = isSliceRecord(row?.value) ? row.value : {};
+    return { key, version: row?.version ?? 0, record, own: sliceOf(record, this.ctx.index) };
+  }
+
+  /** Before a pass: nothing is short yet, and what other parts should get is left to them. */
+  begin(): void {
+    this.short.clear();
+    this.#fair.clear();
+    const { index, limits, parts, summaries } = this.ctx;
+    const mine = this.ledger.demand();
+    const others = new Map<string, Demand>();
+    const elsewhere = new Set<string>();
+    for (const [part, { demand, short }] of summaries.all()) {
+      if (part === index) continue;
+      for (const { team, rank, cpus, gpus } of demand) {
+        const sum = others.get(team) ?? noDemand();
+        others.set(team, sum);
+        if (rank >= sum.cpus.length) continue;
+        sum.cpus[rank]! += cpus;
+        sum.gpus[rank]! += gpus;
+      }
+      for (const team of Object.keys(short)) elsewhere.add(team);
+    }
+    for (const [team, limit] of limits) {
+      const own = mine.get(team) ?? noDemand();
+      const rest = others.get(team) ?? noDemand();
+      const slice = {
+        cpus: target(limit.cpus, own.cpus, rest.cpus, parts),
+        gpus: target(limit.gpus, own.gpus, rest.gpus, parts),
+      };
+      // A slice that ends in the middle of a task would leave the rest of it unused.
+      const step = own.largest > 0 ? own.largest : 1;
+      this.#fair.set(team, {
+        low: { ...slice, cpus: Math.floor(slice.cpus / step) * step },
+        high: { ...slice, cpus: Math.ceil(slice.cpus / step) * step },
+        elsewhere: elsewhere.has(team),
+        own,
+        rest,
+      });
+    }
+  }
+
+  /**
+   * CPUs that tasks up to a priority use here while other parts' tasks of higher ones are short of
+   * them.
+   */
+  excess(team: string, rank: number): number {
+    const fair = this.#fair.get(team);
+    const limit = this.ctx.limits.get(team);
+    if (fair === undefined || limit === undefined || !fair.elsewhere) return 0;
+    const higher = fair.rest.cpus.map((cpus, i) => (i > rank ? cpus : 0));
+    const most = target(limit.cpus, fair.own.cpus, higher, this.ctx.parts);
+    return (this.ledger.use.get(team) ?? ZERO).cpus - Math.ceil(most);
+  }
+
+  fits(spec: JobSpec, tasks = 1): boolean {
+    const size = { cpus: spec.cpus * tasks, gpus: spec.gpus * tasks };
+    const use = add(this.ledger.use.get(spec.team) ?? ZERO, size);
+    const slice = this.#slices.get(spec.team) ?? ZERO;
+    const fair = this.#fair.get(spec.team);
+    // Else what ends here would be replaced before the slice is lowered, again and again.
+    const most = fair?.elsewhere === true ? smaller(slice, fair.high) : slice;
+    if (within(use, most)) return true;
+    if (!this.short.has(spec.team)) this.short.set(spec.team, minus(use, slice));
+    return false;
+  }
+
+  /**
+   * The slices that should change, the smaller of both values being all that counts from now on,
+   * until it is known which of them is in the store. Lowered only when another part is short.
+   */
+  changes(): SliceChange[] {
+    const changes: SliceChange[] = [];
+    for (const [team, limit] of this.ctx.limits) {
+      const { key, version, record, own } = this.#known(team);
+      const fair = this.#fair.get(team);
+      const short = this.short.get(team) ?? null;
+      let wanted = own;
+      if (fair !== undefined && (short !== null || fair.elsewhere)) {
+        const use = this.ledger.use.get(team) ?? ZERO;
+        const free = freeOf(record, limit);
+        const { low, high, elsewhere } = fair;
+        const cpus = { own: own.cpus, use: use.cpus, low: low.cpus, high: high.cpus };
+        const gpus = { own: own.gpus, use: use.gpus, low: low.gpus, high: high.gpus };
+        wanted = {
+          cpus: wish(cpus, free.cpus, short?.cpus, elsewhere),
+          gpus: wish(gpus, free.gpus, short?.gpus, elsewhere),
+        };
+      }
+      const next = reslice(record, this.ctx.index, wanted, limit);
+      const after = sliceOf(next, this.ctx.index);
+      // Until the answer is known, only what is ours in either case counts.
+      this.#slices.set(team, smaller(own, after));
+      const same =
+        Math.abs(after.cpus - own.cpus) < EPSILON && Math.abs(after.gpus - own.gpus) < EPSILON;
+      if (!same) changes.push({ team, key, version, record: next });
+    }
+    return changes;
+  }
+
+  committed({ team, record }: SliceChange): void {
+    this.#slices.set(team, sliceOf(record, this.ctx.index));
+  }
+}
+
+/** The slice to ask for, in one resource; `missing` for the next task, if anything is. */
+function wish(
+  { own, use, low, high }: { own: number; use: number; low: number; high: number },
+  free: number,
+  missing: number | undefined,
+  elsewhere: boolean,
+): number {
+  if (elsewhere && own > high) return Math.max(use, high);
+  if (missing === undefined || free <= EPSILON) return own;
+  // Beyond its fair slice a part takes only what holds another task.
+  const more = free + EPSILON >= missing ? own + missing : own;
+  return Math.max(own, low, elsewhere ? Math.min(more, high) : more);
+}
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -2,6 +2,8 @@
 export interface Summary {
   /** Use by team: CPUs and GPUs of tasks placed and not proved gone. */
   use: Record<string, [number, number]>;
+  /** What the tasks of a team at one priority use and wait for. */
+  demand: { team: string; rank: number; cpus: number; gpus: number }[];
   /** Waiting tasks by shape, those that their team's limit allows. */
   need: Need[];
   /** Teams whose slice is too small here, with what is missing. */
@@ -10,6 +12,8 @@
   kinds: KindRoom[];
   /** CPUs of tasks that wait, over all teams. */
   waiting: number;
+  /** How long one CPU would work on them, by the estimates of their owners, in seconds. */
+  workS: number;
   machines: string[];
   /** Machines no longer used here, and silent ones: to be returned. */
   retired: string[];
@@ -41,7 +45,7 @@
 }
 
 export function isSummary(value: unknown): value is Summary {
-  return typeof value === "object" && value !== null && "use" in value && "need" in value;
+  return typeof value === "object" && value !== null && "use" in value && "demand" in value;
 }
 
 /** The newest summary of every part, from the store or from its owner directly. */
--- /dev/null
+++ b/src/part/workers.ts
@@ -0,0 +1,305 @@
+import { type Reply, retryLater } from "../http/server.js";
+import type { Live } from "../jobs/chunk.js";
+import type { JobSpec } from "../wire/jobs.js";
+import * as wire from "../wire/workers.js";
+import type { Machine } from "../workers/machine.js";
+import type { PartContext } from "./context.js";
+import type { Job } from "./job.js";
+import type { Found, Ledger } from "./ledger.js";
+
+/** A report whose answer waits for a commit. */
+interface Held {
+  machine: Machine;
+  report: wire.Report;
+  listed: Set<string>;
+  reply(answer: Reply): void;
+}
+
+/**
+ * Speaks with the workers: takes in their reports, decides from them which tasks are proved gone,
+ * and answers with commands that depend on nothing that is not in the store.
+ */
+export class Workers {
+  readonly #held = new Set<Held>();
+  readonly #orders = new Map<Machine, wire.Command[]>();
+  #stopped = false;
+
+  constructor(
+    readonly ctx: PartContext,
+    readonly ledger: Ledger,
+    /** Something has changed that the next pass should see: soon, or at once. */
+    readonly wake: (urgent: boolean) => void,
+  ) {}
+
+  close(): void {
+    this.#stopped = true;
+    for (const held of this.#held) this.#answer(held);
+    this.#held.clear();
+  }
+
+  gone(id: string): void {
+    const machine = this.ledger.machines.get(id);
+    if (machine === undefined) return;
+    this.ledger.machines.delete(id);
+    for (const live of [...machine.live.values()]) this.#release(live, false);
+    const { log, index } = this.ctx;
+    log.info({ part: index, machine: id, tasks: machine.live.size }, "machine gone");
+  }
+
+  cancel(job: Job): void {
+    for (const chunk of job.chunks.values()) {
+      for (const live of [...chunk.live.values()]) {
+        // Placed by us and never told to the worker: it cannot have started. A loaded one may.
+        if (live.version > 0 && live.told === null) this.#release(live, false);
+        else this.stop(live, 0, "cancelled");
+      }
+    }
+  }
+
+  stop(live: Live, graceS: number, reason: string): void {
+    if (live.stop !== null && live.stop.graceS <= graceS) return;
+    live.stop = { graceS, reason, askedAt: this.ctx.clock.now() };
+    const machine = this.ledger.machines.get(live.machine);
+    // Its next answer says so in any case; this is only faster.
+    if (machine?.current && live.seenAt !== null && machine.address !== "") {
+      const stop = wire.stopTask(live.task, live.attempt, graceS);
+      const queued = this.#orders.get(machine);
+      if (queued === undefined) this.#orders.set(machine, [stop]);
+      else queued.push(stop);
+      this.wake(true);
+    }
+  }
+
+  /** Sends what has been said since the last time straight to the workers. */
+  sendOrders(): void {
+    for (const [machine, commands] of this.#orders) {
+      this.ctx.order(machine.address, machine.session, commands);
+    }
+    this.#orders.clear();
+  }
+
+  /** After a commit: answers whatever depended on nothing else. */
+  answerSettled(): void {
+    for (const held of this.#held) {
+      if (!this.#settled(held)) continue;
+      this.#held.delete(held);
+      this.#answer(held);
+    }
+  }
+
+  #release(live: Live, completed: boolean): void {
+    if (!this.ledger.release(live, completed) || completed) return;
+    const { spec } = live.chunk;
+    const job = this.ledger.jobs.get(live.chunk.job);
+    // A gang runs whole or not at all: without this task the others only hold their room.
+    if (spec.kind !== "gang" || job === undefined) return;
+    for (const other of job.chunks.values()) {
+      for (const mate of other.live.values()) this.stop(mate, spec.saveS, "gang");
+    }
+  }
+
+  onReport(report: wire.Report, reply: (answer: Reply) => void): void {
+    const { token, index, clock, gone } = this.ctx;
+    // A newer owner has spoken to it: an answer of ours would be dropped and would hold it here.
+    if (report.token > token) {
+      reply({ status: 421, body: wire.redirectAnswer(null) });
+      return;
+    }
+    const nothing = (): void => reply({ status: 200, body: wire.reportAnswer(token, []) });
+    if (gone.has(report.machine)) {
+      nothing();
+      return;
+    }
+    const now = clock.now();
+    const machine = this.ledger.machine(report.machine);
+    // A report that was held back on its way: the list is old, and nobody waits for an answer.
+    if (
+      machine.current &&
+      (report.session < machine.session ||
+        (report.session === machine.session && report.seq <= machine.seq))
+    ) {
+      nothing();
+      return;
+    }
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    machine.address = report.address;
+    machine.lastSeen = now;
+    machine.noticeS = report.noticeS;
+    if (report.token < token) {
+      // It has not heard of us: a start by the previous owner may still be on its way to it.
+      // This answer gives it our token, after which only we can start anything.
+      nothing();
+      return;
+    }
+    if (!machine.current) {
+      machine.current = true;
+      this.ctx.log.debug({ part: index, machine: machine.id }, "machine follows us");
+    }
+    machine.session = report.session;
+    machine.seq = report.seq;
+    const before = machine.live.size;
+    const listed = new Set<string>();
+    machine.strays = [];
+    for (const task of report.tasks) this.#onTask(machine, task, listed, now);
+    for (const live of [...machine.live.values()]) {
+      if (!listed.has(live.task)) this.#onAbsent(machine, live);
+    }
+    machine.touched();
+    if (machine.noticeS !== null) this.#drain(machine);
+    const answer = { machine, report, listed, reply };
+    if (machine.live.size === before) {
+      this.#answer(answer);
+      this.wake(false);
+      return;
+    }
+    // Tasks have ended. The answer waits a moment for the commit of their ends, which also
+    // places what follows them: the worker may then forget and start at once, not a report later.
+    this.#held.add(answer);
+    clock.after(this.ctx.reportMs / 8, () => {
+      if (this.#held.delete(answer)) this.#answer(answer);
+    });
+    this.wake(true);
+  }
+
+  /** What a worker is told, by what is in the store now. */
+  #answer({ machine, report, listed, reply }: Held): void {
+    const { token } = this.ctx;
+    if (this.#stopped) {
+      reply(retryLater(503, "part has no owner yet"));
+      return;
+    }
+    const commands: wire.Command[] = [];
+    // Nothing starts in an answer to a report that is not the newest: the worker has given it up.
+    const newest = machine.session === report.session && machine.seq === report.seq;
+    for (const task of newest ? report.tasks : []) {
+      const found = this.ledger.find(task.task);
+      const live = this.#liveOf(found, machine, task);
+      if (live !== undefined) {
+        if (live.stop !== null && !(task.state === "saving" && live.stop.graceS > 0)) {
+          commands.push(wire.stopTask(live.task, live.attempt, live.stop.graceS));
+        }
+      } else if (task.state !== "exited") {
+        commands.push(wire.stopTask(task.task, task.attempt, 0));
+      } else if (found === null || found.chunk.saved >= found.chunk.version) {
+        // Its end must be in the store before the worker may forget it.
+        commands.push(wire.forgetTask(task.task, task.attempt));
+      }
+    }
+    for (const live of newest ? machine.live.values() : []) {
+      if (listed.has(live.task) || live.chunk.saved < live.version || live.stop !== null) continue;
+      const job = this.ledger.jobs.get(live.chunk.job);
+      if (job === undefined || !job.open || machine.noticeS !== null) continue;
+      if (!this.ctx.valid()) continue;
+      live.told = { session: machine.session, seq: machine.seq };
+      commands.push(wire.startTask(live.task, live.attempt));
+      this.ctx.log.debug({ task: live.task, machine: machine.id }, "start");
+    }
+    reply({ status: 200, body: wire.reportAnswer(token, commands) });
+  }
+
+  /** Whether all that an answer depends on is in the store. */
+  #settled({ machine, report }: Held): boolean {
+    for (const live of machine.live.values()) if (live.chunk.saved < live.version) return false;
+    return report.tasks.every(({ task }) => {
+      const found = this.ledger.find(task);
+      return found === null || found.chunk.saved >= found.chunk.version;
+    });
+  }
+
+  #liveOf(found: Found | null, machine: Machine, task: wire.ReportedTask): Live | undefined {
+    const live = found?.chunk.live.get(found.index);
+    return live?.machine === machine.id && live.attempt === task.attempt ? live : undefined;
+  }
+
+  #onTask(machine: Machine, task: wire.ReportedTask, listed: Set<string>, now: number): void {
+    const found = this.ledger.find(task.task);
+    const live = this.#liveOf(found, machine, task);
+    if (found === null || live === undefined) {
+      if (task.state !== "exited") {
+        machine.strays.push(found?.job.spec ?? ({ cpus: 0, gpus: 0, memGb: 0 } as JobSpec));
+      }
+      return;
+    }
+    listed.add(live.task);
+    const { job } = found;
+    if (live.seenAt === null) live.seenAt = now;
+    if (task.state !== "exited") {
+      if (task.state === "running" && !live.running) {
+        live.running = true;
+        if (live.version > 0) {
+          const waitedS = (now - live.since) / 1000;
+          this.ctx.metrics.add({ kind: "running", team: job.spec.team, waitedS });
+        }
+        if (job.spec.image !== null) machine.images.add(job.spec.image);
+      }
+      return;
+    }
+    const completed = task.why === "done" && job.spec.kind !== "service";
+    if (completed) {
+      job.failures = 0;
+      machine.failedJobs.clear();
+    } else if (task.why === "error") {
+      this.#failed(job, machine, now);
+    } else if (task.why !== "stopped") {
+      this.ctx.log.info({ task: live.task, machine: machine.id, why: task.why }, "task refused");
+      if (task.why === "no_such") job.notBefore = now + this.ctx.reportMs;
+    }
+    this.#release(live, completed);
+  }
+
+  #failed(job: Job, machine: Machine, now: number): void {
+    job.failures++;
+    machine.failedJobs.add(job.id);
+    // Each failure in a row doubles the pause, so a job that cannot succeed does not keep its
+    // team's share low and does not push the team's other jobs aside.
+    const pause = Math.min(
+      this.ctx.reportMs * 2 ** Math.min(job.failures, 10),
+      this.ctx.leaseMs * 10,
+    );
+    job.notBefore = now + (job.failures > 1 ? pause : 0);
+    // Different jobs fail on it one after another: it is the machine.
+    if (machine.failedJobs.size >= 2 && machine.retired === null) {
+      machine.retired = "faulty";
+      this.ctx.log.warn({ machine: machine.id }, "machine set aside: different jobs fail on it");
+    }
+  }
+
+  /** A task of ours that a worker which follows us does not list. */
+  #onAbsent(machine: Machine, live: Live): void {
+    // Not in the store yet, so its start has not been sent.
+    if (live.chunk.saved < live.version) return;
+    const job = this.ledger.jobs.get(live.chunk.job);
+    const over = live.stop !== null || job?.open !== true || machine.noticeS !== null;
+    const lost = live.told !== null && live.told.session < machine.session;
+    // This worker has taken our token, and every answer that carried the start is older than this
+    // report: the task is gone, or never began. If it is still wanted here it is started again.
+    if (live.version === 0 || live.seenAt !== null || lost || over) this.#release(live, false);
+  }
+
+  /** The cloud will take the machine: what can save does so now, the rest runs as long as it may. */
+  #drain(machine: Machine): void {
+    for (const live of machine.live.values()) {
+      const { spec } = live.chunk;
+      if (spec.checkpointS > 0 && live.running) {
+        this.stop(live, Math.max(spec.saveS, 0.1), "notice");
+      }
+    }
+  }
+
+  /** Whether most machines that followed us have fallen silent together. */
+  cutOff(): boolean {
+    const now = this.ctx.clock.now();
+    let followed = 0;
+    let silent = 0;
+    for (const machine of this.ledger.machines.values()) {
+      // Longer than a lease: that machine has failed by itself, and is dealt with as one.
+      const quiet = now - machine.lastSeen;
+      if (!machine.current || quiet > this.ctx.leaseMs * 1.5) continue;
+      followed++;
+      if (quiet > this.ctx.leaseMs / 3) silent++;
+    }
+    return followed >= 3 && silent > followed * 0.7;
+  }
+}
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -8,7 +8,7 @@
  * Numbers are big-endian; a text is a u16 length and UTF-8; a list is a u32 count and its items.
  */
 export const MAX_FRAME = 1024 * 1024;
-export const VERSION = 1;
+export const VERSION = 2;
 /** Says which version the sender speaks; another one ends the connection. */
 const KIND_HELLO = 1;
 const KIND_SUMMARY = 2;
@@ -168,6 +168,7 @@
   out.f64(summary.token);
   out.f64(summary.seq);
   out.f64(summary.waiting);
+  out.f64(summary.workS);
   out.list(summary.kinds, (kind) => {
     out.text(kind.type);
     out.text(kind.zone);
@@ -177,6 +178,12 @@
     out.f64(kind.most);
   });
   writePairs(out, summary.use);
+  out.list(summary.demand, ({ team, rank, cpus, gpus }) => {
+    out.text(team);
+    out.u8(rank);
+    out.f64(cpus);
+    out.f64(gpus);
+  });
   writePairs(out, summary.short);
   out.list(summary.need, (need) => writeNeed(out, need));
   out.list(summary.machines, (id) => out.text(id));
@@ -205,6 +212,7 @@
   const token = from.f64();
   const seq = from.f64();
   const waiting = from.f64();
+  const workS = from.f64();
   const kinds = from.list(() => ({
     type: from.text(),
     zone: from.text(),
@@ -214,6 +222,12 @@
     most: from.f64(),
   }));
   const use = readPairs(from);
+  const demand = from.list(() => ({
+    team: from.text(),
+    rank: from.u8(),
+    cpus: from.f64(),
+    gpus: from.f64(),
+  }));
   const short = readPairs(from);
   const need = from.list(() => readNeed(from));
   const machines = from.list(() => from.text());
@@ -223,7 +237,20 @@
   return {
     kind: "summary",
     part,
-    summary: { token, seq, kinds, waiting, use, short, need, machines, retired, idle },
+    summary: {
+      token,
+      seq,
+      kinds,
+      waiting,
+      workS,
+      use,
+      demand,
+      short,
+      need,
+      machines,
+      retired,
+      idle,
+    },
   };
 }
 
--- a/src/quota/slices.ts
+++ b/src/quota/slices.ts
@@ -23,6 +23,30 @@
   gpus: Math.min(a.gpus, b.gpus),
 });
 
+/**
+ * The slice that a part should have, in one resource, by what it and the other parts use and ask
+ * for, by priority from the lowest. Higher priorities come first; where the limit does not hold all
+ * of one, it is shared out by demand; and what is left at the end is spread evenly, so that the
+ * next job need not wait for a slice. Before this, whoever asked first took all it could use, and
+ * the other parts' tasks of the same team waited behind it.
+ */
+export function target(
+  limit: number,
+  mine: readonly number[],
+  others: readonly number[],
+  parts: number,
+): number {
+  let left = limit;
+  let sum = 0;
+  for (let rank = mine.length - 1; rank >= 0; rank--) {
+    const total = mine[rank]! + others[rank]!;
+    const share = total <= left ? 1 : left / total;
+    sum += mine[rank]! * share;
+    left -= total * share;
+  }
+  return sum + left / parts;
+}
+
 /** The record with this part's slice moved towards `wanted` as far as the limit allows. */
 export function reslice(
   record: SliceRecord,
--- a/src/state/budget.ts
+++ b/src/state/budget.ts
@@ -2,21 +2,37 @@
 
 /** A token bucket: `rate` a second, with bursts of up to `burst`. */
 export class Budget {
+  #rate: number;
+  #burst: number;
   #level: number;
   #at: number;
 
   constructor(
-    readonly rate: number,
-    readonly burst: number,
+    rate: number,
+    burst: number,
     readonly clock: Clock,
   ) {
+    this.#rate = rate;
+    this.#burst = burst;
     this.#level = burst;
     this.#at = clock.now();
   }
 
+  get burst(): number {
+    return this.#burst;
+  }
+
+  /** From now on this much; what has been saved up stays, as far as it fits. */
+  change(rate: number, burst: number): void {
+    this.#refill();
+    this.#rate = rate;
+    this.#burst = burst;
+    this.#level = Math.min(this.#level, burst);
+  }
+
   #refill(): void {
     const now = this.clock.now();
-    this.#level = Math.min(this.burst, this.#level + ((now - this.#at) / 1000) * this.rate);
+    this.#level = Math.min(this.#burst, this.#level + ((now - this.#at) / 1000) * this.#rate);
     this.#at = now;
   }
 
@@ -24,7 +40,7 @@
   take(n: number, keep = 0): boolean {
     this.#refill();
     // A request larger than the bucket may go when the bucket is full; it leaves a debt.
-    if (this.#level < Math.min(n + keep, this.burst)) return false;
+    if (this.#level < Math.min(n + keep, this.#burst)) return false;
     this.#level -= n;
     return true;
   }
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -7,8 +7,20 @@
   job: (id: string): string => `w/j/${id}`,
   quota: (team: string): string => `w/q/${encodeURIComponent(team)}`,
   summary: (part: number): string => `w/s/${part}`,
-  gone: (machine: string): string => `w/g/${machine}`,
+  /** Machines that the cloud has confirmed to be gone, by the call that returned them. */
+  gone: (call: string): string => `w/g/${call}`,
   types: "w/types",
-  chunks: (part: number): string => `c/${part}/`,
-  chunk: (part: number, job: string, index: number): string => `c/${part}/${job}/${index}`,
+  /**
+   * Changes with every cancellation, so that a placement depends on one key and not on the header
+   * of every job. It sorts before the headers: whoever lists the keys page by page knows every
+   * cancellation that its version stands for.
+   */
+  cancels: "w/cancels",
+  /** All that is kept for a part's owner. */
+  records: (part: number): string => `c/${part}/`,
+  pages: (part: number): string => `c/${part}/p/`,
+  page: (part: number, number: number): string => `c/${part}/p/${number}`,
+  /** What a chunk brings along from the part that handed it over. */
+  handover: (part: number, job: string, index: number): string => `c/${part}/m/${job}/${index}`,
+  fence: (part: number): string => `c/${part}/fence`,
 };
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -7,6 +7,8 @@
 
 /** Certainly not executed: an outage, or over a rate limit. */
 export class Refused extends Error {}
+/** Not executed and never will be: the service finds fault with it. */
+export class Rejected extends Refused {}
 /** The service answered with something this program does not understand. */
 export class Garbled extends Error {}
 /** Our lease is no longer there. */
@@ -17,7 +19,7 @@
   | { ok: false; failed: string[]; revision: number };
 
 export interface StoreLimits {
-  /** This controller's part of the service's limits. */
+  /** The service's limits, for all controllers together. */
   rps: number;
   writeRps: number;
   ops: number;
@@ -30,6 +32,8 @@
 export interface Store {
   readonly limits: StoreLimits;
   readonly writes: Budget;
+  /** Says how many controllers share the service's limits now. */
+  divide(controllers: number): void;
   get(key: string): Promise<wire.Row | null>;
   list(prefix: string): Promise<{ rows: wire.Row[]; revision: number }>;
   transact(when: wire.Condition[], then: wire.Change[]): Promise<TxnResult>;
@@ -53,9 +57,18 @@
     readonly clock: Clock,
     readonly timeoutMs: number,
   ) {
-    // The service allows one second's worth at once; a tenth is left for clocks that differ.
-    this.writes = new Budget(limits.writeRps * 0.9, limits.writeRps * 0.9, clock);
-    this.#requests = new Budget(limits.rps * 0.9, limits.rps * 0.9, clock);
+    this.writes = new Budget(limits.writeRps, limits.writeRps, clock);
+    this.#requests = new Budget(limits.rps, limits.rps, clock);
+    this.divide(1);
+  }
+
+  divide(controllers: number): void {
+    // A controller may use more than its even part: the others are rarely busy at the same moment,
+    // and what the service refuses is not executed. One that is alone may use all of it. The
+    // service allows one second's worth at once; a tenth is left for clocks that differ.
+    const part = Math.min(1, 1.5 / Math.max(1, controllers)) * 0.9;
+    this.writes.change(this.limits.writeRps * part, this.limits.writeRps * part);
+    this.#requests.change(this.limits.rps * part, this.limits.rps * part);
   }
 
   async #call(
@@ -66,7 +79,8 @@
     urgent = false,
   ): Promise<Answer> {
     if (urgent) this.#requests.force(1);
-    else if (!this.#requests.take(1, this.limits.rps / 10)) throw new Refused("own rate limit");
+    else if (!this.#requests.take(1, this.#requests.burst / 10))
+      throw new Refused("own rate limit");
     const answer = await this.http.call(method, path, body, timeoutMs);
     if (answer.status === 503 || answer.status === 429) throw new Refused(String(answer.status));
     return answer;
@@ -112,7 +126,7 @@
       if (then.some((change) => "put" in change && change.lease !== undefined)) {
         throw new NoLease("no such lease");
       }
-      throw new Refused(`transaction refused: ${JSON.stringify(answer.body)}`);
+      throw new Rejected(`transaction rejected: ${JSON.stringify(answer.body)}`);
     }
     // Some other status: nothing says that it was not executed.
     throw new NoAnswer(`transaction: ${answer.status}`);
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -51,18 +51,12 @@
     this.#room = null;
   }
 
-  room(type: MachineType | undefined, specOf: (live: Live) => JobSpec | undefined): Room {
+  room(type: MachineType | undefined): Room {
     if (type === undefined) return { cpus: 0, gpus: 0, memGb: 0 };
     if (this.#room !== null) return this.#room;
     const room: Room = { cpus: type.cpus, gpus: type.gpus, memGb: type.memGb };
-    const take = (spec: JobSpec | undefined): void => {
-      // A task of an unknown job has an unknown size: the machine counts as full.
-      room.cpus -= spec?.cpus ?? type.cpus;
-      room.gpus -= spec?.gpus ?? type.gpus;
-      room.memGb -= spec?.memGb ?? type.memGb;
-    };
-    for (const live of this.live.values()) take(specOf(live));
-    for (const spec of this.strays) take(spec);
+    for (const live of this.live.values()) give(room, live.chunk.spec, -1);
+    for (const spec of this.strays) give(room, spec, -1);
     this.#room = room;
     return room;
   }
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { Tree } from "../src/fair/share.js";
 import type { Reply } from "../src/http/server.js";
+import { decodePage, type PageRecord } from "../src/jobs/page.js";
 import { Metrics } from "../src/metrics.js";
 import { Part } from "../src/part/part.js";
 import { Summaries } from "../src/part/summary.js";
@@ -40,13 +41,20 @@
 /** One part with everything around it, at the moment its owner takes it over. */
 class Bench {
   readonly clock = new FakeClock();
-  readonly state = new FakeState(this.clock, LIMITS);
-  readonly store = new FakeStore(this.state, this.clock, new Random(7), LIMITS, 1000);
-  readonly mirror = new Mirror(this.store, this.clock, quiet, 1000);
+  readonly state: FakeState;
+  readonly store: FakeStore;
+  readonly mirror: Mirror;
+  readonly gone = new Set<string>();
   token = 0;
   lost = false;
   part!: Part;
 
+  constructor(limits = LIMITS) {
+    this.state = new FakeState(this.clock, limits);
+    this.store = new FakeStore(this.state, this.clock, new Random(7), limits, 1000);
+    this.mirror = new Mirror(this.store, this.clock, quiet, 1000);
+  }
+
   put(...changes: Change[]): void {
     assert.ok(this.state.transact([], changes).ok);
   }
@@ -73,13 +81,14 @@
         newTree: () => new Tree(defaultTuning([team]).groups),
         evenOut: true,
         patience: 4,
+        parts: 1,
         partsOf: () => [0],
         limits: new Map([["red", { cpus: 8, gpus: 0 }]]),
-        guarantees: new Map([["red", { cpus: 8, gpus: 0 }]]),
         targets: new Map(),
+        gone: this.gone,
         metrics: new Metrics(this.clock, 1e9),
         summaries: new Summaries(),
-        openJobs: () => [],
+        guaranteed: () => new Set(),
         order: () => undefined,
         announce: () => undefined,
         reportMs: 2000,
@@ -93,7 +102,9 @@
     this.mirror.on("w/j/", ({ key, value }) =>
       this.part.tell({ kind: "header", id: key.slice(4), header: value as never }),
     );
-    this.mirror.on("w/g/", ({ key }) => this.part.tell({ kind: "gone", machine: key.slice(4) }));
+    this.mirror.on("w/g/", ({ value }) =>
+      this.part.tell({ kind: "gone", machines: value as string[] }),
+    );
   }
 
   async report(machine: string, given: Partial<Report>): Promise<Command[]> {
@@ -127,10 +138,12 @@
 
   /** Where the store says that the task is placed, and with which attempt. */
   placed(): [number, string] | null {
-    const record = this.state.rows.get("c/0/wk-000001/0")?.value as
-      | { l: Record<string, [number, string]> }
-      | undefined;
-    return record?.l[0] ?? null;
+    for (const [key, { value }] of this.state.rows) {
+      if (!key.startsWith("c/0/p/")) continue;
+      const live = decodePage(value as PageRecord).get("wk-000001/0")?.live[0];
+      if (live !== undefined) return [live.attempt, live.machine];
+    }
+    return null;
   }
 }
 
@@ -145,6 +158,11 @@
   tasks: 1,
   ...more,
 });
+/** Its only task is on `old`. */
+const PLACED: Change = {
+  put: "c/0/p/0",
+  value: { m: ["old"], c: { "wk-000001/0": [1, "", "0.1.0"] } },
+};
 const running = { task: "wk-000001/0", attempt: 1, state: "running" as const, why: "" };
 const exited = (why: string) => ({ ...running, state: "exited" as const, why });
 
@@ -183,12 +201,12 @@
   test(`takeover: ${name}: ${gone ? "proved gone" : "not proved gone"}`, async () => {
     const bench = new Bench();
     bench.put({ put: "w/j/wk-000001", value: header() });
-    bench.put({ put: "c/0/wk-000001/0", value: { a: 1, d: "", l: { 0: [1, "old"] } } });
+    bench.put(PLACED);
     await bench.takeOver();
     await bench.report("new", { token: 1 });
     await bench.report("new", { seq: 2 });
     for (const step of steps) await bench.report("old", step);
-    if (free === true) bench.put({ put: "w/g/old", value: 1 });
+    if (free === true) bench.put({ put: "w/g/1-1", value: ["old"] });
     // Machines that are only silent must be waited for, however long it takes.
     for (let seq = 3; seq < 40; seq++) {
       await bench.clock.run(1000);
@@ -215,10 +233,24 @@
   assert.ok(started);
 });
 
+// With large values nothing ever left its page: room was asked for that no transaction has.
+for (const valueBytes of [1024, 8 * 1024, 32 * 1024, 256 * 1024]) {
+  test(`a job ends where values may have ${valueBytes} bytes`, async () => {
+    const bench = new Bench({ ...LIMITS, valueBytes });
+    bench.put({ put: "w/j/wk-000001", value: header() });
+    bench.put(PLACED);
+    await bench.takeOver();
+    await bench.report("old", { seq: 2, tasks: [exited("done")] });
+    await bench.clock.run(1000);
+    const value = bench.state.rows.get("w/j/wk-000001")?.value as { status: string };
+    assert.equal(value.status, "done");
+  });
+}
+
 test("an end is in the store before the worker may forget it", async () => {
   const bench = new Bench();
   bench.put({ put: "w/j/wk-000001", value: header() });
-  bench.put({ put: "c/0/wk-000001/0", value: { a: 1, d: "", l: { 0: [1, "old"] } } });
+  bench.put(PLACED);
   await bench.takeOver();
   const clear = { verb: "clear", piece: "wk-000001/0", try: 1 };
   bench.store.cut = true;
@@ -237,7 +269,7 @@
 test("a cancelled job's tasks are stopped and nothing of it starts", async () => {
   const bench = new Bench();
   bench.put({ put: "w/j/wk-000001", value: header() });
-  bench.put({ put: "c/0/wk-000001/0", value: { a: 1, d: "", l: { 0: [1, "old"] } } });
+  bench.put(PLACED);
   await bench.takeOver();
   await bench.report("old", { seq: 2, tasks: [running] });
   bench.put({ put: "w/j/wk-000001", value: header({ status: "cancelled" }) });
@@ -247,7 +279,10 @@
   await bench.report("old", { seq: 4, tasks: [exited("stopped")] });
   await bench.clock.run(3000);
   assert.deepEqual(await bench.report("old", { seq: 5 }), []);
-  assert.equal(bench.state.rows.has("c/0/wk-000001/0"), false);
+  assert.equal(
+    [...bench.state.rows.keys()].some((key) => key.startsWith("c/0/p/")),
+    false,
+  );
 });
 
 // What comes of a transaction whose answer is lost, applied at once, late, or never.
@@ -293,3 +328,55 @@
   assert.equal(bench.placed(), null);
   assert.ok(bench.lost);
 });
+
+test("many chunks are saved by few changes, within the limits of a value and a transaction", async () => {
+  // The stand-in throws on a value or a transaction that is too large.
+  const bench = new Bench({ ...LIMITS, valueBytes: 700, ops: 6 });
+  await bench.takeOver();
+  const machines = Array.from(
+    { length: 8 },
+    (_, i) => `${"machine-with-a-long-name-".repeat(2)}${i}`,
+  );
+  for (const machine of machines) await bench.report(machine, { token: 1 });
+  const first = bench.state.log.length;
+  for (let n = 10; n < 18; n++) {
+    const many = { ...spec, tasks: 4, cpus: 0.25 };
+    const value = header({ spec: many, tasks: 4, owners: "0000" });
+    bench.put({ put: `w/j/wk-0000${n}`, value });
+  }
+  const starts = new Set<string>();
+  for (let seq = 2; seq < 12; seq++) {
+    for (const machine of machines) {
+      for (const order of await bench.report(machine, { seq })) {
+        if (order.verb === "start") starts.add(order.piece);
+      }
+    }
+    await bench.clock.run(500);
+  }
+  assert.equal(starts.size, 32);
+  const changes = bench.state.log
+    .slice(first)
+    .filter(({ key }) => key.startsWith("c/0/p/") || key.startsWith("w/q/"));
+  assert.ok(changes.length < 24, `${changes.length} changes for 32 chunks`);
+});
+
+test("a job cancelled without the owner hearing of it: nothing of it starts", async () => {
+  const bench = new Bench();
+  await bench.takeOver();
+  await bench.report("new", { token: 1 });
+  bench.put({ put: "w/j/wk-000001", value: header() });
+  await bench.clock.run(20);
+  // From here on the watch says nothing, while everything else of the store is reached.
+  bench.store.watch = () => new Promise(() => undefined);
+  bench.put(
+    { put: "w/j/wk-000001", value: header({ status: "cancelled" }) },
+    { put: "w/cancels", value: "wk-000001" },
+  );
+  const orders: Command[] = [];
+  for (let seq = 2; seq < 12; seq++) {
+    orders.push(...(await bench.report("new", { seq })));
+    await bench.clock.run(500);
+  }
+  assert.deepEqual(orders, []);
+  assert.equal(bench.placed(), null);
+});
--- a/test/quota.test.ts
+++ b/test/quota.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { freeOf, reslice, type SliceRecord } from "../src/quota/slices.js";
+import { freeOf, reslice, type SliceRecord, target } from "../src/quota/slices.js";
 import { Random } from "./support/random.js";
 
 const cpus = (n: number) => ({ cpus: n, gpus: 0 });
@@ -28,3 +28,18 @@
     assert.ok(freeOf(record, cpus(40)).cpus >= 0);
   }
 });
+
+const targets = [
+  { name: "all fits: what is left is spread", mine: [10, 0], others: [20, 0], want: 14 },
+  { name: "nothing is asked for: an even part", mine: [0, 0], others: [0, 0], want: 10 },
+  { name: "too much in all: by demand", mine: [60, 0], others: [60, 0], want: 25 },
+  { name: "little beside much", mine: [10, 0], others: [90, 0], want: 5 },
+  { name: "no demand where others have too much", mine: [0, 0], others: [90, 0], want: 0 },
+  { name: "higher priorities first", mine: [40, 20], others: [60, 20], want: 24 },
+  { name: "nothing is left for low ones", mine: [40, 0], others: [0, 70], want: 0 },
+];
+for (const { name, mine, others, want } of targets) {
+  test(`quota: the slice a part should have: ${name}`, () => {
+    assert.equal(target(50, mine, others, 5), want);
+  });
+}
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -120,6 +120,30 @@
   });
 }
 
+test("rules: five controllers, and the loss of four of them, twice", async () => {
+  const world = new World(11, 5, TEAMS, 8);
+  await world.clock.run(20_000);
+  for (let n = 0; n < 6; n++) {
+    world.submit(`wk-${200_000 + n}`, { team: TEAMS[n % 2]!.name, tasks: 12, runMs: 15_000 });
+  }
+  for (const survivor of [2, 4]) {
+    await world.clock.run(25_000);
+    for (let n = 0; n < 5; n++) if (n !== survivor) world.crash(n, 30_000);
+    // A worker gives its tasks up when nobody has answered it for a lease.
+    await world.clock.run(world.leaseMs);
+    const owners = [0, 1, 2, 3, 4].map((part) => world.state.rows.get(`w/p/${part}`)?.value);
+    assert.deepEqual(
+      owners.map((owner) => (owner as { node: string } | undefined)?.node),
+      Array(5).fill(`n${survivor}`),
+    );
+    assert.ok([...world.workers.values()].every(({ session }) => session === 1));
+  }
+  await world.clock.run(120_000);
+  world.stop();
+  assert.deepEqual(world.violations, []);
+  assert.ok([...world.jobs.values()].every(({ toldDone }) => toldDone));
+});
+
 // The same days must break a rule once a guard is gone; otherwise they would prove nothing.
 const guards: { name: string; sabotage: Sabotage }[] = [
   { name: "writes that depend on what was read", sabotage: { ignoreConditions: true } },
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -76,6 +76,7 @@
   rank,
   size: cpus(size),
   loss,
+  saves: false,
 });
 
 const stopCases = [
@@ -115,6 +116,7 @@
       entitled: true,
       patience: 4,
       evenPatience: 1,
+      urgent: true,
     };
     assert.equal(mayStop(tree, asker, victim("v", "y", c.v)), c.want);
   });
@@ -122,7 +124,15 @@
 
 test("preemption: inside a team only lower priority is stopped", () => {
   const tree = flatTree(teams);
-  const asker = { team: "x", rank: 1, size: cpus(1), entitled: true, patience: 0, evenPatience: 0 };
+  const asker = {
+    team: "x",
+    rank: 1,
+    size: cpus(1),
+    entitled: true,
+    patience: 0,
+    evenPatience: 0,
+    urgent: true,
+  };
   assert.equal(mayStop(tree, asker, victim("v", "x", 1, 0)), "priority");
   assert.equal(mayStop(tree, asker, victim("v", "x", 1, 1)), null);
 });
@@ -138,6 +148,7 @@
     entitled: true,
     patience: 40,
     evenPatience: 10,
+    urgent: true,
   };
   assert.equal(mayStop(tree, asker, victim("v", "y", 1, 1, 11)), null);
   assert.equal(mayStop(tree, asker, victim("v", "y", 1, 1, 9)), "fair");
@@ -178,7 +189,15 @@
     tree.charge("z", cpus(14));
     const picks = chooseVictims(
       tree,
-      { team: "x", rank: 1, size: cpus(c.need), entitled: true, patience: 0, evenPatience: 0 },
+      {
+        team: "x",
+        rank: 1,
+        size: cpus(c.need),
+        entitled: true,
+        patience: 0,
+        evenPatience: 0,
+        urgent: true,
+      },
       c.victims,
       (stopped) => {
         // Freed amounts do not add up across machines: each victim is on one of its own.
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -138,6 +138,8 @@
     this.writes = new Budget(limits.writeRps, limits.writeRps, clock);
   }
 
+  divide(): void {}
+
   async #exchange<T>(run: () => T): Promise<T> {
     await sleep(this.clock, this.random.int(1, 8));
     if (this.cut) {
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -132,6 +132,7 @@
 
 const summary: Summary = {
   use: { red: [3.5, 0], blå: [0, 2] },
+  demand: [{ team: "red", rank: 1, cpus: 15, gpus: 0 }],
   need: [
     { cpus: 2, gpus: 0, memGb: 4, spot: true, types: null, zone: null, count: 7 },
     { cpus: 1, gpus: 1, memGb: 4, spot: false, types: ["g8", "c4"], zone: "a", count: 1 },
@@ -139,6 +140,7 @@
   short: { red: [1, 0] },
   kinds: [{ type: "c4", zone: "a", spot: true, capacity: 12, free: 3, most: 2 }],
   waiting: 15,
+  workS: 600,
   machines: ["host-000001"],
   retired: [],
   idle: { "host-000001": 12 },
