--- a/src/part/commits.ts
+++ b/src/part/commits.ts
@@ -224,7 +224,14 @@
     };
     const staying = (number: number): Chunk[] =>
       pages.get(number)!.filter((chunk) => !left.has(chunk));
+    let takenIn = 0;
     for (const chunk of fresh) {
+      // What it brought along is removed in the same transaction, one change for each chunk: when
+      // many came at once, transactions had too many changes, and none went through any more.
+      if (chunk.handover > 0) {
+        if (!room(leftPages.size + dirty.size + takenIn + 3)) continue;
+        takenIn++;
+      }
       const fits = (number: number): boolean =>
         this.#sum(staying(number)) + this.#size(chunk) <= pageBytes * ROOMY;
       const number =
@@ -234,7 +241,8 @@
     }
     for (const number of new Set([...leftPages, ...dirty])) {
       const groups = this.#split(staying(number), pageBytes * FULL);
-      if (!room(groups.length + 1, this.#sum(staying(number)))) {
+      const removals = staying(number).filter(({ handover }) => handover > 0).length;
+      if (!room(groups.length + removals + 1, this.#sum(staying(number)))) {
         if (leftPages.has(number)) return this.#collect(false);
         break;
       }
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -360,6 +360,30 @@
   assert.ok(changes.length < 24, `${changes.length} changes for 32 chunks`);
 });
 
+test("many chunks come from other parts at once: all are taken in, a few at a time", async () => {
+  const bench = new Bench({ ...LIMITS, ops: 6 });
+  const largest = new Set<number>();
+  const real = bench.state.transact.bind(bench.state);
+  bench.state.transact = (when, then) => {
+    largest.add(then.length);
+    return real(when, then);
+  };
+  for (let n = 10; n < 34; n++) {
+    const id = `wk-0000${n}`;
+    const state = { m: ["old"], c: { [`${id}/0`]: [2, "", `0.2.0`] } };
+    bench.put({ put: `w/j/${id}`, value: header({ moves: 1 }) });
+    bench.put({ put: `c/0/m/${id}/0`, value: state });
+  }
+  await bench.takeOver();
+  for (let seq = 2; seq < 30; seq++) {
+    await bench.report("old", { seq });
+    await bench.clock.run(1000);
+  }
+  const left = [...bench.state.rows.keys()].filter((key) => key.startsWith("c/0/m/"));
+  assert.deepEqual(left, []);
+  assert.ok(Math.max(...largest) <= 6);
+});
+
 test("a job cancelled without the owner hearing of it: nothing of it starts", async () => {
   const bench = new Bench();
   await bench.takeOver();
