--- a/src/jobs/page.ts
+++ b/src/jobs/page.ts
@@ -41,6 +41,10 @@
   return states;
 }
 
+/** How large a page may be: two, and what goes with them, fit a transaction. */
+export const pageBytes = (limits: { valueBytes: number; txnBytes: number }): number =>
+  Math.min(limits.valueBytes, limits.txnBytes / 3);
+
 /** What the state service counts for a value. */
 export const sizeOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
 
--- a/src/part/commits.ts
+++ b/src/part/commits.ts
@@ -8,7 +8,7 @@
   partChar,
   withOwner,
 } from "../jobs/header.js";
-import { chunkName, encodePage, type PageRecord, sizeOf } from "../jobs/page.js";
+import { chunkName, encodePage, type PageRecord, pageBytes, sizeOf } from "../jobs/page.js";
 import { keys } from "../state/keys.js";
 import { type Change, type Condition, Refused, Rejected, type Row } from "../state/store.js";
 import type { PartContext } from "./context.js";
@@ -95,9 +95,8 @@
    */
   #collect(leave: boolean): Batch {
     const { index, token, store, mirror } = this.ctx;
-    const { ops, conditions, valueBytes, txnBytes } = store.limits;
-    // Two pages, and what goes with them, fit a transaction whatever a value may hold.
-    const pageBytes = Math.min(valueBytes, txnBytes / 3);
+    const { ops, conditions, txnBytes } = store.limits;
+    const pageSize = pageBytes(store.limits);
     const fenceKey = keys.fence(index);
     const batch: Batch = {
       when: [
@@ -167,14 +166,14 @@
       const takesAlong = movingTo !== null && chunk.attempts > 0;
       const writesHeader = movingTo !== null || job.open;
       const newPage = chunk.page !== null && !leftPages.has(chunk.page) ? chunk.page : null;
-      const pageSize = newPage === null ? 0 : this.#sum(pages.get(newPage)!);
+      const newSize = newPage === null ? 0 : this.#sum(pages.get(newPage)!);
       const needed =
         (newPage === null ? 0 : 1) +
         (chunk.handover > 0 ? 1 : 0) +
         (takesAlong ? 1 : 0) +
         (writesHeader && !headers.has(job) ? 1 : 0);
       // One page may have to be split, and new chunks may need one.
-      if (!room(leftPages.size + headers.size + needed + 2, leftBytes + pageSize + pageBytes)) {
+      if (!room(leftPages.size + headers.size + needed + 2, leftBytes + newSize + pageSize)) {
         // It stays for now, and is saved like any other.
         if (chunk.saved < chunk.version) {
           if (chunk.page === null) fresh.push(chunk);
@@ -185,7 +184,7 @@
       left.add(chunk);
       if (newPage !== null) {
         leftPages.add(newPage);
-        leftBytes += pageSize;
+        leftBytes += newSize;
       }
       batch.saves.push({ chunk, version: chunk.version, page: null });
       this.#forgetHandover(batch, chunk);
@@ -207,7 +206,7 @@
       const begun = (job.chunks.get(0)?.live.size ?? 0) > 0 && !job.header.started;
       if (!begun || !job.open || headers.has(job)) continue;
       if (store.writes.level < store.writes.burst / 2) break;
-      if (!room(leftPages.size + headers.size + 4, leftBytes + pageBytes)) break;
+      if (!room(leftPages.size + headers.size + 4, leftBytes + pageSize)) break;
       headers.set(job, { ...job.header, started: true });
     }
     for (const [job, header] of headers) {
@@ -233,14 +232,14 @@
         takenIn++;
       }
       const fits = (number: number): boolean =>
-        this.#sum(staying(number)) + this.#size(chunk) <= pageBytes * ROOMY;
+        this.#sum(staying(number)) + this.#size(chunk) <= pageSize * ROOMY;
       const number =
         [...dirty, ...leftPages].find(fits) ?? [...pages.keys()].find(fits) ?? unused();
       pages.get(number)!.push(chunk);
       dirty.add(number);
     }
     for (const number of new Set([...leftPages, ...dirty])) {
-      const groups = this.#split(staying(number), pageBytes * FULL);
+      const groups = this.#split(staying(number), pageSize * FULL);
       const removals = staying(number).filter(({ handover }) => handover > 0).length;
       if (!room(groups.length + removals + 1, this.#sum(staying(number)))) {
         if (leftPages.has(number)) return this.#collect(false);
--- a/src/part/ledger.ts
+++ b/src/part/ledger.ts
@@ -1,6 +1,7 @@
 import { type Amounts, add } from "../fair/share.js";
 import { Chunk, type ChunkState, type Live } from "../jobs/chunk.js";
 import { type Header, partChar } from "../jobs/header.js";
+import { pageBytes } from "../jobs/page.js";
 import { type JobSpec, PRIORITIES } from "../wire/jobs.js";
 import { Machine } from "../workers/machine.js";
 import type { PartContext } from "./context.js";
@@ -38,8 +39,19 @@
   /** By team: tasks placed and not proved gone. */
   readonly use = new Map<string, Amounts>();
 
+  #longestName = 0;
+
   constructor(readonly ctx: PartContext) {}
 
+  /**
+   * How many tasks of one chunk may be placed at a time, so that its state fits a page however long
+   * the names of machines are: each takes its name, two numbers and what separates them.
+   */
+  get mostLive(): number {
+    const bytes = pageBytes(this.ctx.store.limits) - 1024;
+    return Math.max(1, Math.floor((bytes * 0.75) / (this.#longestName + 20)));
+  }
+
   /** The chunks of a job that are ours by its header and that are not here yet. */
   missing(id: string, header: Header): { job: Job; chunks: number[] } | null {
     if (header.spec === undefined) return null;
@@ -95,6 +107,7 @@
     let machine = this.machines.get(id);
     if (machine === undefined) {
       machine = new Machine(id, this.ctx.clock.now());
+      this.#longestName = Math.max(this.#longestName, id.length);
       this.machines.set(id, machine);
     }
     return machine;
--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -181,7 +181,8 @@
     const machine = this.#again(job, pass) ?? this.#best(job, pass);
     if (machine === null) return false;
     for (const chunk of job.chunks.values()) {
-      const index = chunk.movingTo === null ? chunk.nextPending() : null;
+      if (chunk.movingTo !== null || chunk.live.size >= this.ledger.mostLive) continue;
+      const index = chunk.nextPending();
       if (index === null) continue;
       this.#place(job, chunk, index, machine, pass);
       this.#last = { job, machine };
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -360,6 +360,30 @@
   assert.ok(changes.length < 24, `${changes.length} changes for 32 chunks`);
 });
 
+test("a chunk's state fits a page however long the names of machines are", async () => {
+  const bench = new Bench({ ...LIMITS, valueBytes: 4096 });
+  await bench.takeOver();
+  const many = { ...spec, tasks: 96, cpus: 0.05 };
+  bench.put({
+    put: "w/j/wk-000001",
+    value: header({ spec: many, tasks: 96, chunkSize: 96 }),
+  });
+  const machines = Array.from({ length: 24 }, (_, i) => `${"m".repeat(180)}${i}`);
+  let started = 0;
+  for (let seq = 1; seq < 12; seq++) {
+    for (const machine of machines) {
+      const token = seq === 1 ? 1 : bench.token;
+      for (const { verb } of await bench.report(machine, { seq, token })) {
+        if (verb === "start") started++;
+      }
+    }
+    await bench.clock.run(300);
+  }
+  const pages = [...bench.state.rows].filter(([key]) => key.startsWith("c/0/p/"));
+  assert.equal(pages.length, 1);
+  assert.ok(started > 0);
+});
+
 test("many chunks come from other parts at once: all are taken in, a few at a time", async () => {
   const bench = new Bench({ ...LIMITS, ops: 6 });
   const largest = new Set<number>();
