Failed try: priorities inside a team at once on machines too; slices follow demand less closely

Reverted for machines; kept where a team's own limit is what its jobs wait for, as on koini. They are now lowered 10% above the fair one.

--- a/src/fair/preempt.ts
+++ b/src/fair/preempt.ts
@@ -9,8 +9,6 @@
   size: Amounts;
   /** Saved work first, among otherwise equal ones. */
   loss: number;
-  /** It saves when it is stopped, and loses next to nothing. */
-  saves: boolean;
 }
 
 export interface Asker {
@@ -26,8 +24,6 @@
    */
   patience: number;
   evenPatience: number;
-  /** It may still be in time: inside its team it need not wait for what loses no work. */
-  urgent: boolean;
 }
 
 export type Reason = "priority" | "reclaim" | "fair" | "greedy";
@@ -56,8 +52,7 @@
 export function mayStop(tree: Tree, asker: Asker, victim: Victim): Reason | null {
   const affordable = asker.entitled || victim.loss <= asker.patience;
   if (victim.team === asker.team) {
-    const cheap = asker.urgent && victim.saves;
-    return (affordable || cheap) && victim.rank < asker.rank ? "priority" : null;
+    return affordable && victim.rank < asker.rank ? "priority" : null;
   }
   const groups = blamed(tree, asker.team, victim.team);
   if (groups === null) return null;
--- a/src/part/preempting.ts
+++ b/src/part/preempting.ts
@@ -23,6 +23,13 @@
   spec: JobSpec;
 }
 
+interface Missing {
+  cpus: number;
+  rank: number;
+  /** Null when it is another part's. */
+  job: Job | null;
+}
+
 /** Tasks that are stopped for one waiting task at most, and waiting tasks looked at in one go. */
 const MOST_PICKS = 16;
 const MOST_ASKERS = 16;
@@ -54,17 +61,13 @@
     // would overshoot, and the next moment the other way round.
     let even = this.ctx.evenOut && now - this.#evenedAt > this.ctx.leaseMs;
     // What is within a guarantee does not wait; anything else gives room a chance to turn up.
-    const lowest = this.#lowestRanks();
-    const wall = this.ctx.clock.wall();
     const askers = blocked.filter(
-      (job) =>
-        guaranteed.has(job.id) ||
-        now - job.waitingSince >= this.ctx.leaseMs ||
-        (!job.late(wall) && (lowest.get(job.spec.team) ?? job.spec.rank) < job.spec.rank),
+      (job) => guaranteed.has(job.id) || now - job.waitingSince >= this.ctx.leaseMs,
     );
-    if (askers.length === 0) return;
+    const missing = this.#missingQuota(blocked);
+    if (askers.length === 0 && missing.size === 0) return;
     this.#collect(pass);
-    this.#freeQuota(blocked, pass);
+    this.#freeQuota(missing, pass);
     const hopeless = new Set<string>();
     let left = MOST_ASKERS;
     for (const job of askers) {
@@ -84,7 +87,6 @@
         patience,
         // Nothing has a loss below zero.
         evenPatience: even ? patience / this.ctx.patience : -1,
-        urgent: !job.late(wall),
       };
       // Another job like it, with the same rights, has just found nothing.
       const like = entitled
@@ -119,26 +121,13 @@
     }
   }
 
-  /** By team, the lowest priority of a task that saves when it is stopped. */
-  #lowestRanks(): Map<string, number> {
-    const lowest = new Map<string, number>();
-    for (const { spec, live } of this.ledger.jobs.values()) {
-      if (!live || spec.checkpointS === 0) continue;
-      lowest.set(spec.team, Math.min(lowest.get(spec.team) ?? spec.rank, spec.rank));
-    }
-    return lowest;
-  }
-
-  /**
-   * Where a team's limit is what its jobs wait for, other teams' tasks do not help: tasks of its
-   * own make room, those of lower priority that save when they are stopped. First those that have
-   * not begun, then those that have run longest, whose start has been of use.
-   */
-  #freeQuota(blocked: readonly Job[], pass: Pass): void {
-    const missing = new Map<string, { cpus: number; rank: number; job: Job | null }>();
+  /** By team, the CPUs that jobs lack for want of quota, with the priority that lacks them. */
+  #missingQuota(blocked: readonly Job[]): Map<string, Missing> {
+    const missing = new Map<string, Missing>();
     const wall = this.ctx.clock.wall();
     for (const job of blocked) {
       const { spec } = job;
+      // What cannot be in time any more has no need to hurry.
       if (spec.kind !== "array" || job.late(wall) || this.quota.fits(spec)) continue;
       const known = missing.get(spec.team);
       if (known === undefined) {
@@ -156,27 +145,36 @@
         if (cpus > 0) missing.set(team, { cpus, rank: rank + 1, job: null });
       }
     }
-    if (missing.size === 0) return;
     // What has been stopped already will be free in a moment.
-    for (const machine of this.ledger.machines.values()) {
+    for (const machine of missing.size === 0 ? [] : this.ledger.machines.values()) {
       for (const { stop, chunk } of machine.live.values()) {
         const wanted = stop === null ? undefined : missing.get(chunk.spec.team);
         if (wanted !== undefined) wanted.cpus -= chunk.spec.cpus;
       }
     }
-    for (const [team, wanted] of missing) {
-      if (wanted.cpus <= 0) continue;
-      const begun = ({ tasks }: Candidate): number => {
-        const { live } = tasks[0]!;
-        return live.running ? live.since : Number.NEGATIVE_INFINITY;
-      };
+    for (const [team, { cpus }] of missing) if (cpus <= 0) missing.delete(team);
+    return missing;
+  }
+
+  /**
+   * Where a team's limit is what its jobs wait for, other teams' tasks do not help: tasks of its
+   * own make room, those of lower priority that save when they are stopped. First those that have
+   * not begun, then those that have run longest, whose start has been of use.
+   */
+  #freeQuota(missing: ReadonlyMap<string, Missing>, pass: Pass): void {
+    const begun = ({ tasks }: Candidate): number => {
+      const { live } = tasks[0]!;
+      return live.running ? live.since : Number.NEGATIVE_INFINITY;
+    };
+    for (const [team, { cpus, rank, job }] of missing) {
       const victims = [...this.#candidates.values()]
-        .filter((c) => c.team === team && c.saves && c.rank < wanted.rank)
+        .filter((c) => c.team === team && c.spec.checkpointS > 0 && c.rank < rank)
         .sort((a, b) => a.rank - b.rank || begun(a) - begun(b));
+      let left = cpus;
       for (const victim of victims) {
-        if (wanted.cpus <= 0) break;
-        wanted.cpus -= victim.size.cpus;
-        this.#stop(victim, "priority", wanted.job, pass);
+        if (left <= 0) break;
+        left -= victim.size.cpus;
+        this.#stop(victim, "priority", job, pass);
       }
     }
   }
@@ -203,9 +201,8 @@
         let candidate = this.#candidates.get(id);
         if (candidate === undefined) {
           const { team, rank } = spec;
-          const saves = spec.checkpointS > 0;
           const size = { cpus: 0, gpus: 0 };
-          candidate = { id, team, rank, size, loss: 0, saves, tasks: [], spec };
+          candidate = { id, team, rank, size, loss: 0, tasks: [], spec };
           this.#candidates.set(id, candidate);
         }
         candidate.size = add(candidate.size, spec);
--- a/src/part/quota.ts
+++ b/src/part/quota.ts
@@ -13,6 +13,13 @@
 import type { PartContext } from "./context.js";
 import { type Demand, type Ledger, noDemand, ZERO } from "./ledger.js";
 
+/**
+ * A slice is lowered for others once it is this much above the fair one. Shares of demand change
+ * all the time; following them closely, every part gave up in one commit what it took in the next,
+ * and a tenth of the limits was in nobody's hands.
+ */
+const SLACK = 1.1;
+
 /** One slice that is to be changed. */
 export interface SliceChange {
   team: string;
@@ -28,7 +35,7 @@
   /** By team: the slice this part should have, and whether another part is short. */
   readonly #fair = new Map<
     string,
-    { low: Amounts; high: Amounts; elsewhere: boolean; own: Demand; rest: Demand }
+    { low: Amounts; most: Amounts; elsewhere: boolean; own: Demand; rest: Demand }
   >();
   /** Teams that could not place a task for want of quota, in the last pass. */
   readonly short = new Map<string, Amounts>();
@@ -77,7 +84,10 @@
       const step = own.largest > 0 ? own.largest : 1;
       this.#fair.set(team, {
         low: { ...slice, cpus: Math.floor(slice.cpus / step) * step },
-        high: { ...slice, cpus: Math.ceil(slice.cpus / step) * step },
+        most: {
+          cpus: Math.ceil((slice.cpus * SLACK) / step) * step,
+          gpus: Math.ceil(slice.gpus * SLACK),
+        },
         elsewhere: elsewhere.has(team),
         own,
         rest,
@@ -104,7 +114,7 @@
     const slice = this.#slices.get(spec.team) ?? ZERO;
     const fair = this.#fair.get(spec.team);
     // Else what ends here would be replaced before the slice is lowered, again and again.
-    const most = fair?.elsewhere === true ? smaller(slice, fair.high) : slice;
+    const most = fair?.elsewhere === true ? smaller(slice, fair.most) : slice;
     if (within(use, most)) return true;
     if (!this.short.has(spec.team)) this.short.set(spec.team, minus(use, slice));
     return false;
@@ -124,9 +134,9 @@
       if (fair !== undefined && (short !== null || fair.elsewhere)) {
         const use = this.ledger.use.get(team) ?? ZERO;
         const free = freeOf(record, limit);
-        const { low, high, elsewhere } = fair;
-        const cpus = { own: own.cpus, use: use.cpus, low: low.cpus, high: high.cpus };
-        const gpus = { own: own.gpus, use: use.gpus, low: low.gpus, high: high.gpus };
+        const { low, most, elsewhere } = fair;
+        const cpus = { own: own.cpus, use: use.cpus, low: low.cpus, most: most.cpus };
+        const gpus = { own: own.gpus, use: use.gpus, low: low.gpus, most: most.gpus };
         wanted = {
           cpus: wish(cpus, free.cpus, short?.cpus, elsewhere),
           gpus: wish(gpus, free.gpus, short?.gpus, elsewhere),
@@ -150,14 +160,14 @@
 
 /** The slice to ask for, in one resource; `missing` for the next task, if anything is. */
 function wish(
-  { own, use, low, high }: { own: number; use: number; low: number; high: number },
+  { own, use, low, most }: { own: number; use: number; low: number; most: number },
   free: number,
   missing: number | undefined,
   elsewhere: boolean,
 ): number {
-  if (elsewhere && own > high) return Math.max(use, high);
+  if (elsewhere && own > most) return Math.max(use, low);
   if (missing === undefined || free <= EPSILON) return own;
   // Beyond its fair slice a part takes only what holds another task.
   const more = free + EPSILON >= missing ? own + missing : own;
-  return Math.max(own, low, elsewhere ? Math.min(more, high) : more);
+  return Math.max(own, low, elsewhere ? Math.min(more, most) : more);
 }
--- a/test/share.test.ts
+++ b/test/share.test.ts
@@ -76,7 +76,6 @@
   rank,
   size: cpus(size),
   loss,
-  saves: false,
 });
 
 const stopCases = [
@@ -116,7 +115,6 @@
       entitled: true,
       patience: 4,
       evenPatience: 1,
-      urgent: true,
     };
     assert.equal(mayStop(tree, asker, victim("v", "y", c.v)), c.want);
   });
@@ -131,7 +129,6 @@
     entitled: true,
     patience: 0,
     evenPatience: 0,
-    urgent: true,
   };
   assert.equal(mayStop(tree, asker, victim("v", "x", 1, 0)), "priority");
   assert.equal(mayStop(tree, asker, victim("v", "x", 1, 1)), null);
@@ -148,7 +145,6 @@
     entitled: true,
     patience: 40,
     evenPatience: 10,
-    urgent: true,
   };
   assert.equal(mayStop(tree, asker, victim("v", "y", 1, 1, 11)), null);
   assert.equal(mayStop(tree, asker, victim("v", "y", 1, 1, 9)), "fair");
@@ -196,7 +192,6 @@
         entitled: true,
         patience: 0,
         evenPatience: 0,
-        urgent: true,
       },
       c.victims,
       (stopped) => {
