Give up jobs that cannot be in time for those that can (Moore and Hodgson)

Ruled out: machines (111 CPUs free) and, by the log of use by team, quota but for a tenth. Each controller finds from the headers which jobs of a team can be in time with the CPUs it has.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,10 +1,12 @@
 import { type Clock, sleep } from "./clock.js";
 import { Fleet } from "./cloud/fleet.js";
 import { type Amounts, minus, Tree, within } from "./fair/share.js";
+import { type Due, timely } from "./fair/timely.js";
 import type { Caller } from "./http/client.js";
 import { type Reply, type Route, type Router, retryLater } from "./http/server.js";
 import {
   chunkSizeFor,
+  chunksLeft,
   type Header,
   isHeader,
   partChar,
@@ -15,6 +17,7 @@
 import { Layout } from "./membership/layout.js";
 import { Membership } from "./membership/membership.js";
 import { Metrics } from "./metrics.js";
+import { dueOf } from "./part/job.js";
 import { Part } from "./part/part.js";
 import { isSummary, roomOf, Summaries, type Summary } from "./part/summary.js";
 import type { Frame } from "./peer/frames.js";
@@ -70,6 +73,8 @@
   readonly #openJobs = new Map<string, Header>();
   /** Those of them that are within their team's guarantee; null when it has to be found anew. */
   #inside: Set<string> | null = null;
+  #inTime = new Set<string>();
+  #inTimeAt = Number.NEGATIVE_INFINITY;
   readonly #gone = new Set<string>();
   #types = new Map<string, MachineType>();
   #fleet: Fleet | null = null;
@@ -233,6 +238,7 @@
             targets: this.#targets,
             gone: this.#gone,
             guaranteed: () => this.#guaranteed(),
+            timely: () => this.#timely(),
             order: (address, session, commands) =>
               this.#links.order(address, ordersBody(token, session, commands)),
             announce: (summary) => {
@@ -309,6 +315,37 @@
     return this.#inside;
   }
 
+  /** Jobs that are to be in time, with the CPUs that their teams have now or are guaranteed. */
+  #timely(): ReadonlySet<string> {
+    const now = this.#clock.now();
+    if (now - this.#inTimeAt < this.#settings.params.workers.report_s * 250) return this.#inTime;
+    this.#inTimeAt = now;
+    const wall = this.#clock.wall();
+    const jobs = new Map<string, Due[]>();
+    for (const [id, { spec, at, owners, chunkSize }] of this.#openJobs) {
+      if (spec === undefined) continue;
+      const left = Math.min(spec.tasks, chunksLeft(owners) * chunkSize);
+      const due: Due = {
+        id,
+        rank: spec.rank,
+        leftS: (dueOf(spec, at, this.#targets.get(spec.class) ?? null) - wall) / 1000,
+        taskS: spec.estimateS,
+        work: left * spec.cpus * spec.estimateS,
+      };
+      const list = jobs.get(spec.team);
+      if (list === undefined) jobs.set(spec.team, [due]);
+      else list.push(due);
+    }
+    this.#inTime = new Set();
+    for (const [team, list] of jobs) {
+      let cpus = 0;
+      for (const [, { use }] of this.#summaries.all()) cpus += use[team]?.[0] ?? 0;
+      const most = Math.max(1, cpus, this.#guarantees.get(team)?.cpus ?? 0);
+      for (const id of timely(list, most)) this.#inTime.add(id);
+    }
+    return this.#inTime;
+  }
+
   // ---- requests --------------------------------------------------------------------------
 
   #routes(): Router {
--- a/src/jobs/header.ts
+++ b/src/jobs/header.ts
@@ -28,6 +28,13 @@
 
 export const allFinished = (owners: string): boolean => /^x*$/.test(owners);
 
+/** How many chunks are not finished. */
+export function chunksLeft(owners: string): number {
+  let left = 0;
+  for (const owner of owners) if (owner !== FINISHED) left++;
+  return left;
+}
+
 export function finalHeader(header: Header, status: "done" | "cancelled"): Header {
   // A cancelled job keeps its owners: they still have tasks to stop and records to delete.
   const { spec: _spec, ...rest } = header;
--- a/src/part/context.ts
+++ b/src/part/context.ts
@@ -34,6 +34,8 @@
   gone: ReadonlySet<string>;
   /** Ids of the jobs of all parts that are within their team's guarantee. */
   guaranteed(): ReadonlySet<string>;
+  /** Ids of the jobs of all parts that are to be in time. */
+  timely(): ReadonlySet<string>;
   /** By class, when jobs without a deadline of their own should be finished. */
   targets: ReadonlyMap<string, number>;
   /** Sends commands straight to a worker; whether they arrive shows in its reports. */
--- a/src/part/job.ts
+++ b/src/part/job.ts
@@ -4,17 +4,16 @@
 import type { Mirror } from "../state/mirror.js";
 import type { JobSpec } from "../wire/jobs.js";
 
-/**
- * Estimates are often wrong by half (PROTOCOL): a job counts as too late only when even half of
- * its estimate does not fit before it is due.
- */
-const HOPE = 0.5;
+/** When a job should be complete, by the time of day; infinity if nobody said. */
+export function dueOf(spec: JobSpec, at: number, targetS: number | null): number {
+  const afterS = spec.deadlineS ?? targetS;
+  return afterS === null ? Number.POSITIVE_INFINITY : at + afterS * 1000;
+}
 
 /** A job as far as one part has chunks of it. */
 export class Job {
   readonly chunks = new Map<number, Chunk>();
   readonly key: string;
-  /** When it should be complete, by the time of day; infinity if nobody said. */
   readonly due: number;
   /** Failures in a row, on whatever machine. */
   failures = 0;
@@ -31,8 +30,7 @@
     targetS: number | null,
   ) {
     this.key = keys.job(id);
-    const afterS = spec.deadlineS ?? targetS;
-    this.due = afterS === null ? Number.POSITIVE_INFINITY : at + afterS * 1000;
+    this.due = dueOf(spec, at, targetS);
   }
 
   /**
@@ -62,11 +60,6 @@
     return count;
   }
 
-  /** Whether it cannot be in time any more, by the time of day. */
-  late(wall: number): boolean {
-    return this.due - wall <= this.spec.estimateS * 1000 * HOPE;
-  }
-
   get live(): boolean {
     for (const chunk of this.chunks.values()) if (chunk.live.size > 0) return true;
     return false;
@@ -74,12 +67,12 @@
 }
 
 /**
- * Inside a team: priority; then jobs that can still be in time, by when they are due; then the
- * rest by age. In a backlog, going by the due time alone makes one late job after another.
+ * Inside a team: priority; then jobs that are to be in time, by when they are due; then the rest
+ * by age.
  */
-export function byUrgency(a: Job, b: Job, now: number): number {
+export function byUrgency(a: Job, b: Job, timely: ReadonlySet<string>): number {
   if (a.spec.rank !== b.spec.rank) return b.spec.rank - a.spec.rank;
-  const late = a.late(now);
-  if (late !== b.late(now)) return late ? 1 : -1;
-  return !late && a.due !== b.due ? a.due - b.due : a.at - b.at;
+  const inTime = timely.has(a.id);
+  if (inTime !== timely.has(b.id)) return inTime ? -1 : 1;
+  return inTime && a.due !== b.due ? a.due - b.due : a.at - b.at;
 }
--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -84,11 +84,11 @@
         if (until < now || job === undefined || job.pending === 0) machine.reserved.delete(id);
       }
     }
-    const wall = this.ctx.clock.wall();
+    const timely = this.ctx.timely();
     for (const queue of queues.values()) {
       queue.sort((a, b) => {
         const x = guaranteed.has(a.id);
-        return x === guaranteed.has(b.id) ? byUrgency(a, b, wall) : x ? -1 : 1;
+        return x === guaranteed.has(b.id) ? byUrgency(a, b, timely) : x ? -1 : 1;
       });
     }
     const blocked: Job[] = [];
--- a/src/part/preempting.ts
+++ b/src/part/preempting.ts
@@ -124,11 +124,11 @@
   /** By team, the CPUs that jobs lack for want of quota, with the priority that lacks them. */
   #missingQuota(blocked: readonly Job[]): Map<string, Missing> {
     const missing = new Map<string, Missing>();
-    const wall = this.ctx.clock.wall();
+    const timely = this.ctx.timely();
     for (const job of blocked) {
       const { spec } = job;
       // What cannot be in time any more has no need to hurry.
-      if (spec.kind !== "array" || job.late(wall) || this.quota.fits(spec)) continue;
+      if (spec.kind !== "array" || !timely.has(job.id) || this.quota.fits(spec)) continue;
       const known = missing.get(spec.team);
       if (known === undefined) {
         missing.set(spec.team, { cpus: job.pending * spec.cpus, rank: spec.rank, job });
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -45,6 +45,7 @@
   readonly store: FakeStore;
   readonly mirror: Mirror;
   readonly gone = new Set<string>();
+  readonly timely = new Set<string>();
   token = 0;
   lost = false;
   part!: Part;
@@ -89,6 +90,7 @@
         metrics: new Metrics(this.clock, 1e9),
         summaries: new Summaries(),
         guaranteed: () => new Set(),
+        timely: () => this.timely,
         order: () => undefined,
         announce: () => undefined,
         reportMs: 2000,
@@ -360,6 +362,50 @@
   assert.ok(changes.length < 24, `${changes.length} changes for 32 chunks`);
 });
 
+// The team may use 8 CPUs, and they are used. There is a machine to spare: room is not the matter.
+const limitCases = [
+  { name: "a job of higher priority that may be in time", rank: 1, timely: true, stops: 2 },
+  { name: "not for one that is too late already", rank: 1, timely: false, stops: 0 },
+  { name: "not for one of the same priority", rank: 0, timely: true, stops: 0 },
+];
+for (const { name, rank, timely, stops } of limitCases) {
+  test(`limit: tasks that save make room in their own team: ${name}`, async () => {
+    const bench = new Bench();
+    await bench.takeOver();
+    const low = { ...spec, rank: 0, tasks: 8, checkpointS: 20, saveS: 3 };
+    const value = header({ spec: low, tasks: 8, chunkSize: 8 });
+    bench.put({ put: "w/j/wk-000001", value });
+    const lists = new Map<string, Report["tasks"]>();
+    const stopped = new Map<string, number>();
+    const rounds = async (from: number, to: number): Promise<void> => {
+      for (let seq = from; seq < to; seq++) {
+        for (const machine of ["a", "b", "c"]) {
+          const tasks = lists.get(machine) ?? [];
+          const token = seq === 1 ? 1 : bench.token;
+          for (const order of await bench.report(machine, { seq, token, tasks })) {
+            if (order.verb === "stop") stopped.set(order.piece, order.windDownS);
+            if (order.verb !== "start") continue;
+            tasks.push({ task: order.piece, attempt: order.try, state: "running", why: "" });
+          }
+          lists.set(machine, tasks);
+        }
+        await bench.clock.run(500);
+      }
+    };
+    await rounds(1, 10);
+    assert.equal([...lists.values()].flat().length, 8);
+    const urgent = { ...spec, rank, tasks: 2 };
+    if (timely) bench.timely.add("wk-000002");
+    bench.put({
+      put: "w/j/wk-000002",
+      value: header({ spec: urgent, tasks: 2, chunkSize: 2 }),
+    });
+    await rounds(10, 16);
+    assert.equal(stopped.size, stops);
+    for (const graceS of stopped.values()) assert.ok(graceS >= 3, "they have time to save");
+  });
+}
+
 test("a chunk's state fits a page however long the names of machines are", async () => {
   const bench = new Bench({ ...LIMITS, valueBytes: 4096 });
   await bench.takeOver();
--- /dev/null
+++ b/test/timely.test.ts
@@ -0,0 +1,42 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Due, timely } from "../src/fair/timely.js";
+
+const job = (id: string, leftS: number, work: number, rank = 1, taskS = 10): Due => ({
+  id,
+  rank,
+  leftS,
+  taskS,
+  work,
+});
+
+// With ten CPUs.
+const cases: { name: string; jobs: Due[]; want: string[] }[] = [
+  { name: "all fit", jobs: [job("a", 60, 300), job("b", 100, 400)], want: ["a", "b"] },
+  {
+    name: "a huge one is given up for those after it",
+    jobs: [job("huge", 60, 900), job("b", 70, 300), job("c", 80, 300)],
+    want: ["b", "c"],
+  },
+  {
+    name: "an earlier one for two smaller ones",
+    jobs: [job("a", 50, 450), job("b", 60, 200), job("c", 70, 300)],
+    want: ["b", "c"],
+  },
+  { name: "one that is late by itself", jobs: [job("a", 4, 10), job("b", 60, 100)], want: ["b"] },
+  {
+    name: "low priorities run after all high ones, late or not",
+    jobs: [job("high", 20, 500, 2), job("a", 40, 100, 1), job("b", 90, 100, 1)],
+    want: ["b"],
+  },
+  {
+    name: "no deadline, no hurry",
+    jobs: [job("a", Number.POSITIVE_INFINITY, 1e6), job("b", 60, 100)],
+    want: ["a", "b"],
+  },
+];
+for (const { name, jobs, want } of cases) {
+  test(`in time: ${name}`, () => {
+    assert.deepEqual([...timely(jobs, 10)].sort(), want);
+  });
+}
