--- a/src/fair/timely.ts
+++ b/src/fair/timely.ts
@@ -23,7 +23,7 @@
  * Which of a team's jobs to finish in time, so that as many as possible are: taken in the order in
  * which they are due, and where one would be late, the largest so far is given up (Moore and
  * Hodgson). Going by due times alone, one huge job that cannot make it makes all after it late.
- * Higher priorities run first, whether they are in time or not.
+ * Higher priorities come first; one of theirs that is given up comes after lower ones in time.
  */
 export function timely(jobs: readonly Due[], cpus: number): Set<string> {
   const kept = new Set<string>();
@@ -42,8 +42,10 @@
       for (const [i, { work }] of chosen.entries()) if (work > chosen[largest]!.work) largest = i;
       sum -= chosen.splice(largest, 1)[0]!.work;
     }
-    for (const { id } of chosen) kept.add(id);
-    for (const { work } of mine) before += work;
+    for (const { id, work } of chosen) {
+      kept.add(id);
+      before += work;
+    }
   }
   return kept;
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -197,7 +197,10 @@
 
   /** How long a key has to be free before this controller takes it; infinity: never. */
   #patience(part: number | null, now: number): number {
-    if (part !== null && this.layout.home(part).name === this.node && !this.#shy()) return 0;
+    // Leadership has no home, but at a common start somebody should take it without waiting: until
+    // there is a leader nobody rents machines, and submissions cannot be judged.
+    const home = this.layout.home(part ?? 0).name;
+    if (home === this.node && !this.#shy()) return 0;
     // After a common start everyone is given time to take what is theirs.
     if (now - this.#startedAt < this.ttlMs) return Number.POSITIVE_INFINITY;
     const members = this.layout.members
--- a/src/part/job.ts
+++ b/src/part/job.ts
@@ -67,12 +67,17 @@
 }
 
 /**
- * Inside a team: priority; then jobs that are to be in time, by when they are due; then the rest
- * by age.
+ * Inside a team: jobs that are to be in time, by priority and by when they are due; then the rest,
+ * by priority and age. Who is late already, and would have been first, gains nothing by making
+ * others late.
  */
 export function byUrgency(a: Job, b: Job, timely: ReadonlySet<string>): number {
-  if (a.spec.rank !== b.spec.rank) return b.spec.rank - a.spec.rank;
   const inTime = timely.has(a.id);
   if (inTime !== timely.has(b.id)) return inTime ? -1 : 1;
+  if (a.spec.rank !== b.spec.rank) return b.spec.rank - a.spec.rank;
   return inTime && a.due !== b.due ? a.due - b.due : a.at - b.at;
 }
+
+/** The priority that counts: whoever cannot be in time has none against those who can. */
+export const rankOf = (job: Job, timely: ReadonlySet<string>): number =>
+  timely.has(job.id) ? job.spec.rank : 0;
--- a/src/part/ledger.ts
+++ b/src/part/ledger.ts
@@ -5,7 +5,7 @@
 import { type JobSpec, PRIORITIES } from "../wire/jobs.js";
 import { Machine } from "../workers/machine.js";
 import type { PartContext } from "./context.js";
-import { Job } from "./job.js";
+import { Job, rankOf } from "./job.js";
 
 export interface Found {
   job: Job;
@@ -154,7 +154,10 @@
   /** By team, what its tasks here use and wait for, by priority from the lowest. */
   demand(): Map<string, Demand> {
     const sums = new Map<string, Demand>();
-    for (const { spec, waiting, open, chunks } of this.jobs.values()) {
+    const timely = this.ctx.timely();
+    for (const job of this.jobs.values()) {
+      const { spec, waiting, open, chunks } = job;
+      const rank = rankOf(job, timely);
       let count = open ? waiting : 0;
       for (const chunk of chunks.values()) count += chunk.live.size;
       let sum = sums.get(spec.team);
@@ -162,8 +165,8 @@
         sum = noDemand();
         sums.set(spec.team, sum);
       }
-      sum.cpus[spec.rank]! += count * spec.cpus;
-      sum.gpus[spec.rank]! += count * spec.gpus;
+      sum.cpus[rank]! += count * spec.cpus;
+      sum.gpus[rank]! += count * spec.gpus;
       if (open && waiting > 0) sum.largest = Math.max(sum.largest, spec.cpus);
     }
     return sums;
--- a/src/part/preempting.ts
+++ b/src/part/preempting.ts
@@ -11,7 +11,7 @@
   unreserved,
 } from "../workers/machine.js";
 import type { PartContext } from "./context.js";
-import type { Job } from "./job.js";
+import { type Job, rankOf } from "./job.js";
 import type { Ledger } from "./ledger.js";
 import type { Pass } from "./placing.js";
 import type { Quota } from "./quota.js";
@@ -64,7 +64,8 @@
     const askers = blocked.filter(
       (job) => guaranteed.has(job.id) || now - job.waitingSince >= this.ctx.leaseMs,
     );
-    const missing = this.#missingQuota(blocked);
+    const timely = this.ctx.timely();
+    const missing = this.#missingQuota(blocked, timely);
     if (askers.length === 0 && missing.size === 0) return;
     this.#collect(pass);
     this.#freeQuota(missing, pass);
@@ -78,10 +79,11 @@
       const together = spec.kind === "gang" ? pending : 1;
       if (!this.quota.fits(spec, together)) continue;
       const entitled = guaranteed.has(job.id);
+      const rank = entitled ? spec.rank : rankOf(job, timely);
       const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs);
       const asker: Asker = {
         team: spec.team,
-        rank: spec.rank,
+        rank,
         size: { cpus: spec.cpus * together, gpus: spec.gpus * together },
         entitled,
         patience,
@@ -89,9 +91,7 @@
         evenPatience: even ? patience / this.ctx.patience : -1,
       };
       // Another job like it, with the same rights, has just found nothing.
-      const like = entitled
-        ? `${spec.team}/${spec.rank}/${spec.cpus}/${spec.memGb}/${spec.spot}`
-        : "";
+      const like = entitled ? `${spec.team}/${rank}/${spec.cpus}/${spec.memGb}/${spec.spot}` : "";
       if (hopeless.has(like)) continue;
       for (; pending > 0 && left > 0; pending -= together) {
         left--;
@@ -122,9 +122,8 @@
   }
 
   /** By team, the CPUs that jobs lack for want of quota, with the priority that lacks them. */
-  #missingQuota(blocked: readonly Job[]): Map<string, Missing> {
+  #missingQuota(blocked: readonly Job[], timely: ReadonlySet<string>): Map<string, Missing> {
     const missing = new Map<string, Missing>();
-    const timely = this.ctx.timely();
     for (const job of blocked) {
       const { spec } = job;
       // What cannot be in time any more has no need to hurry.
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -159,6 +159,14 @@
   });
 }
 
+test("membership: at a common start there are owners and a leader within a lease of theirs", async () => {
+  const world = new World(5, 3, TEAMS, 4);
+  await world.clock.run(world.leaseMs / 8);
+  const held = ["w/lead", "w/p/0", "w/p/1", "w/p/2"].map((key) => world.state.rows.has(key));
+  assert.deepEqual(held, [true, true, true, true]);
+  world.stop();
+});
+
 test("membership: who gives a part back leaves its home time to claim it", async () => {
   const clock = new FakeClock();
   const state = new FakeState(clock, LIMITS);
