--- a/src/controller.ts
+++ b/src/controller.ts
@@ -4,6 +4,7 @@
 import { type Due, timely } from "./fair/timely.js";
 import type { Caller } from "./http/client.js";
 import { type Reply, type Route, type Router, retryLater } from "./http/server.js";
+import { dueOf, type Targets, targetsOf } from "./jobs/due.js";
 import {
   chunkSizeFor,
   chunksLeft,
@@ -17,7 +18,6 @@
 import { Layout } from "./membership/layout.js";
 import { Membership } from "./membership/membership.js";
 import { Metrics } from "./metrics.js";
-import { dueOf } from "./part/job.js";
 import { Part } from "./part/part.js";
 import { isSummary, roomOf, Summaries, type Summary } from "./part/summary.js";
 import type { Frame } from "./peer/frames.js";
@@ -69,7 +69,7 @@
   readonly #parts = new Map<number, Part>();
   readonly #limits: Map<string, Amounts>;
   readonly #guarantees: Map<string, Amounts>;
-  readonly #targets = new Map<string, number>();
+  readonly #targets: Targets;
   readonly #openJobs = new Map<string, Header>();
   /** Those of them that are within their team's guarantee; null when it has to be found anew. */
   #inside: Set<string> | null = null;
@@ -94,11 +94,7 @@
     this.#layout = new Layout(clusterOf(settings));
     this.router = this.#routes();
     this.#metrics = new Metrics(clock, params.workers.lease_s * 1000);
-    // Several aims for one class: the earliest orders the jobs.
-    for (const { kind, class: name, within_s } of params.objectives) {
-      if (kind !== "finished" || name === undefined || within_s === undefined) continue;
-      this.#targets.set(name, Math.min(within_s, this.#targets.get(name) ?? within_s));
-    }
+    this.#targets = targetsOf(params.objectives);
     this.#guarantees = new Map(
       params.teams.map((team) => [team.name, { cpus: team.cpus, gpus: team.gpus }]),
     );
@@ -328,7 +324,7 @@
       const due: Due = {
         id,
         rank: spec.rank,
-        leftS: (dueOf(spec, at, this.#targets.get(spec.class) ?? null) - wall) / 1000,
+        leftS: (dueOf(spec, at, this.#targets) - wall) / 1000,
         taskS: spec.estimateS,
         work: left * spec.cpus * spec.estimateS,
       };
--- a/src/part/context.ts
+++ b/src/part/context.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../clock.js";
 import type { Amounts, Tree } from "../fair/share.js";
+import type { Targets } from "../jobs/due.js";
 import type { Log } from "../log.js";
 import type { Metrics } from "../metrics.js";
 import type { Mirror } from "../state/mirror.js";
@@ -36,8 +37,7 @@
   guaranteed(): ReadonlySet<string>;
   /** Ids of the jobs of all parts that are to be in time. */
   timely(): ReadonlySet<string>;
-  /** By class, when jobs without a deadline of their own should be finished. */
-  targets: ReadonlyMap<string, number>;
+  targets: Targets;
   /** Sends commands straight to a worker; whether they arrive shows in its reports. */
   order(address: string, session: number, commands: wire.Command[]): void;
   /** Tells the other controllers, and our own, how this part stands. */
--- a/src/part/job.ts
+++ b/src/part/job.ts
@@ -1,15 +1,10 @@
 import type { Chunk } from "../jobs/chunk.js";
+import { dueOf, type Targets } from "../jobs/due.js";
 import type { Header } from "../jobs/header.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
 import type { JobSpec } from "../wire/jobs.js";
 
-/** When a job should be complete, by the time of day; infinity if nobody said. */
-export function dueOf(spec: JobSpec, at: number, targetS: number | null): number {
-  const afterS = spec.deadlineS ?? targetS;
-  return afterS === null ? Number.POSITIVE_INFINITY : at + afterS * 1000;
-}
-
 /** A job as far as one part has chunks of it. */
 export class Job {
   readonly chunks = new Map<number, Chunk>();
@@ -26,11 +21,10 @@
     readonly at: number,
     readonly mirror: Mirror,
     public waitingSince: number,
-    /** By when jobs of its class should be finished, seconds after submission. */
-    targetS: number | null,
+    targets: Targets,
   ) {
     this.key = keys.job(id);
-    this.due = dueOf(spec, at, targetS);
+    this.due = dueOf(spec, at, targets);
   }
 
   /**
--- a/src/part/ledger.ts
+++ b/src/part/ledger.ts
@@ -60,8 +60,7 @@
     let job = this.jobs.get(id);
     if (job === undefined) {
       const { mirror, clock, targets } = this.ctx;
-      const target = targets.get(header.spec.class) ?? null;
-      job = new Job(id, header.spec, header.at, mirror, clock.now(), target);
+      job = new Job(id, header.spec, header.at, mirror, clock.now(), targets);
       this.jobs.set(id, job);
     }
     const chunks: number[] = [];
--- a/test/timely.test.ts
+++ b/test/timely.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type Due, timely } from "../src/fair/timely.js";
+import { dueOf, targetsOf } from "../src/jobs/due.js";
+import type { JobSpec } from "../src/wire/jobs.js";
 
 const job = (id: string, leftS: number, work: number, rank = 1, taskS = 10): Due => ({
   id,
@@ -45,3 +47,23 @@
     assert.deepEqual([...timely(jobs, 10)].sort(), want);
   });
 }
+
+const aims = targetsOf([
+  { kind: "finished", class: "late", within_s: 400 },
+  { kind: "finished", class: "late", within_s: 250 },
+  { kind: "wait", class: "both", within_s: 150 },
+  { kind: "finished", class: "both", within_s: 400 },
+  { kind: "guarantee", within_s: 5 },
+]);
+const dues = [
+  { name: "its own deadline", class: "late", deadlineS: 900, want: 900 },
+  { name: "the earliest aim for its class", class: "late", deadlineS: null, want: 250 },
+  { name: "the start that is aimed at, and a task", class: "both", deadlineS: null, want: 190 },
+  { name: "nobody said", class: "other", deadlineS: null, want: Number.POSITIVE_INFINITY },
+];
+for (const { name, class: of, deadlineS, want } of dues) {
+  test(`due: ${name}`, () => {
+    const spec = { class: of, deadlineS, estimateS: 40 } as JobSpec;
+    assert.equal(dueOf(spec, 0, aims), want * 1000);
+  });
+}
