--- a/src/jobs/chunk.ts
+++ b/src/jobs/chunk.ts
@@ -41,8 +41,6 @@
   /** Counts changes in memory; `saved` is the last one known to be in the store. */
   version = 0;
   saved = 0;
-  /** The version that contains the newest placement. */
-  placed = 0;
   /** Tasks before this one are all placed or done. */
   cursor = 0;
   /** The part that it is being handed to; nothing of it is placed meanwhile. */
@@ -82,7 +80,6 @@
   place(index: number, machine: string, now: number): Live {
     this.version++;
     this.attempts++;
-    this.placed = this.version;
     const live: Live = {
       chunk: this,
       task: `${this.job}/${this.first + index}`,
--- a/src/jobs/header.ts
+++ b/src/jobs/header.ts
@@ -58,5 +58,5 @@
 export function chunkSizeFor(tasks: number, parts: number, valueBytes: number): number {
   // A live task takes up to 32 bytes of its record, which leaves a quarter for the rest.
   const most = Math.max(1, Math.floor((valueBytes * 0.75) / 32));
-  return Math.min(most, Math.max(1, Math.ceil(tasks / (3 * parts))));
+  return Math.min(most, Math.max(1, Math.ceil(tasks / (2 * parts))));
 }
