--- a/src/controller.ts
+++ b/src/controller.ts
@@ -428,9 +428,20 @@
     if (this.#contactAge() > (cancel_s - lease_s * 1.15) * 1000) {
       return retryLater(503, "out of touch");
     }
-    return new Promise((resolve) => {
-      part.tell({ kind: "report", report, reply: resolve });
-    });
+    // Most reports are answered at once.
+    let answer: Reply | null = null;
+    let later: ((reply: Reply) => void) | null = null;
+    const reply = (given: Reply): void => {
+      if (later === null) answer = given;
+      else later(given);
+    };
+    part.tell({ kind: "report", report, reply });
+    return (
+      answer ??
+      new Promise((resolve) => {
+        later = resolve;
+      })
+    );
   }
 
   #known(id: string): Header | null {
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -7,6 +7,8 @@
   body?: object;
   /** Instead of a body in CBOR. */
   text?: string;
+  /** A body that is encoded already: one encoding serves all who get it. */
+  encoded?: Buffer;
   headers?: Record<string, string>;
 }
 
@@ -22,6 +24,8 @@
 }
 
 export const BODY_LIMIT = 64 * 1024;
+/** Less than a packet holds, with the headers. */
+const ONE_PIECE = 1024;
 
 export const retryLater = (status: 429 | 503, reason: string, seconds = 1): Reply => ({
   status,
@@ -31,13 +35,17 @@
 
 function send(res: ServerResponse, reply: Reply): void {
   if (res.headersSent || res.destroyed) return;
-  const payload = reply.body === undefined ? Buffer.from(reply.text ?? "") : encode(reply.body);
+  const payload =
+    reply.encoded ??
+    (reply.body === undefined ? Buffer.from(reply.text ?? "") : encode(reply.body));
   res.writeHead(reply.status, {
     "content-type": reply.text === undefined ? "application/cbor" : "text/plain; version=0.0.4",
     "content-length": payload.length,
     ...reply.headers,
   });
-  res.end(payload);
+  // As text, a small body goes out in one piece with its headers, at less cost than in two.
+  if (payload.length <= ONE_PIECE) res.end(payload.toString("latin1"), "latin1");
+  else res.end(payload);
 }
 
 function handle(router: Router, log: Log, req: IncomingMessage, res: ServerResponse): void {
--- a/src/part/balancing.ts
+++ b/src/part/balancing.ts
@@ -63,9 +63,10 @@
   /**
    * Hands chunks that find no room here to parts that have some, or that are less pressed. Only
    * machines that the job may use count: chunks of a job for ordinary machines once travelled for
-   * minutes between parts that had nothing but spot machines free.
+   * minutes between parts that had nothing but spot machines free. Says whether any is handed on.
    */
-  run(blocked: readonly Job[], { machines, types, now }: Pass, waitingCpus: number): void {
+  run(blocked: readonly Job[], { machines, types, now }: Pass, waitingCpus: number): boolean {
+    let moves = false;
     const own = kindsOf(machines, types);
     const others = this.#others();
     let waiting = waitingCpus;
@@ -104,6 +105,7 @@
         }
         if (best === null) continue;
         for (const chunk of group) chunk.movingTo = best.part;
+        moves = true;
         best.waiting += cpus;
         best.sent.cpus += cpus;
         waiting -= cpus;
@@ -113,5 +115,6 @@
         );
       }
     }
+    return moves;
   }
 }
--- a/src/part/commits.ts
+++ b/src/part/commits.ts
@@ -57,6 +57,10 @@
   #fence = 0;
   #marks = 0;
   #saving = false;
+  /** The ledger's count when a look found nothing to write. */
+  #cleanAt = 0;
+  /** Something was left for times when there is budget enough. */
+  #heldBack = false;
 
   constructor(
     readonly ctx: PartContext,
@@ -79,9 +83,17 @@
   /** Sends what has changed; false when the budget does not allow it now. */
   flush(): boolean {
     if (this.#saving) return true;
-    const batch = this.#collect(true);
-    if (batch.changes.length === 0) return true;
+    const { changes } = this.ledger;
     const { writes } = this.ctx.store;
+    // Most passes change nothing: then the jobs need not be gone through.
+    const held = this.#heldBack && writes.level >= writes.burst / 2;
+    if (changes === this.#cleanAt && !held && this.quota.changes().length === 0) return true;
+    this.#heldBack = false;
+    const batch = this.#collect(true);
+    if (batch.changes.length === 0) {
+      this.#cleanAt = changes;
+      return true;
+    }
     // Users' submissions and cancellations come first: they are few.
     if (!writes.take(batch.changes.length, writes.burst / 4)) return false;
     this.#saving = true;
@@ -205,7 +217,10 @@
       // For display only, so it waits for times when there is budget enough.
       const begun = (job.chunks.get(0)?.live.size ?? 0) > 0 && !job.header.started;
       if (!begun || !job.open || headers.has(job)) continue;
-      if (store.writes.level < store.writes.burst / 2) break;
+      if (store.writes.level < store.writes.burst / 2) {
+        this.#heldBack = true;
+        break;
+      }
       if (!room(leftPages.size + headers.size + 4, leftBytes + pageSize)) break;
       headers.set(job, { ...job.header, started: true });
     }
@@ -397,6 +412,7 @@
   /** Takes in what became of a batch. */
   settled({ batch, revision, rows, missing }: Outcome): void {
     this.#saving = false;
+    this.ledger.changes++;
     const { index } = this.ctx;
     if (revision === null) {
       for (const { chunk, page } of batch.saves) if (page === null) chunk.movingTo = null;
--- a/src/part/ledger.ts
+++ b/src/part/ledger.ts
@@ -39,6 +39,8 @@
   /** By team: tasks placed and not proved gone. */
   readonly use = new Map<string, Amounts>();
 
+  /** Counts what the store may have to be told of: as long as it stays, there is nothing to write. */
+  changes = 1;
   #longestName = 0;
 
   constructor(readonly ctx: PartContext) {}
@@ -84,12 +86,14 @@
       }
     }
     job.chunks.set(index, chunk);
+    this.changes++;
     return chunk;
   }
 
   drop(chunk: Chunk): void {
     const job = this.jobs.get(chunk.job);
     if (job === undefined || !job.chunks.delete(chunk.index)) return;
+    this.changes++;
     if (job.chunks.size === 0) this.jobs.delete(chunk.job);
   }
 
@@ -115,6 +119,7 @@
   place(job: Job, chunk: Chunk, index: number, machine: Machine): void {
     const now = this.ctx.clock.now();
     const live = chunk.place(index, machine.id, now);
+    this.changes++;
     machine.live.set(live.task, live);
     if (job.spec.image !== null) machine.images.add(job.spec.image);
     machine.touched();
@@ -131,6 +136,7 @@
     if (chunk.live.get(live.index) !== live) return false;
     const now = this.ctx.clock.now();
     chunk.release(live, completed);
+    this.changes++;
     this.#charge(chunk.spec, -1);
     const machine = this.machines.get(live.machine);
     if (machine !== undefined) {
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -156,6 +156,7 @@
 
   #onHeader(id: string, header: Header): void {
     const job = this.jobs.get(id);
+    if (job !== undefined) this.#ledger.changes++;
     this.#takeIn(id, header, null);
     if (header.status === "cancelled" && job !== undefined) this.#workers.cancel(job);
     this.#soon();
@@ -241,7 +242,7 @@
     const blocked = this.#placing.run(pass);
     if (blocked.length > 0) {
       // Where there is room elsewhere, nothing has to be stopped here.
-      this.#balancing.run(blocked, pass, this.#ledger.waitingCpus);
+      if (this.#balancing.run(blocked, pass, this.#ledger.waitingCpus)) this.#ledger.changes++;
       this.#preempting.run(blocked, pass);
     }
     this.#workers.sendOrders();
--- a/src/part/workers.ts
+++ b/src/part/workers.ts
@@ -22,6 +22,7 @@
 export class Workers {
   readonly #held = new Set<Held>();
   readonly #orders = new Map<Machine, wire.Command[]>();
+  readonly #nothing: Reply;
   #stopped = false;
 
   constructor(
@@ -29,7 +30,9 @@
     readonly ledger: Ledger,
     /** Something has changed that the next pass should see: soon, or at once. */
     readonly wake: (urgent: boolean) => void,
-  ) {}
+  ) {
+    this.#nothing = { status: 200, encoded: wire.emptyAnswer(ctx.token) };
+  }
 
   close(): void {
     this.#stopped = true;
@@ -105,7 +108,7 @@
       reply({ status: 421, body: wire.redirectAnswer(null) });
       return;
     }
-    const nothing = (): void => reply({ status: 200, body: wire.reportAnswer(token, []) });
+    const nothing = (): void => reply(this.#nothing);
     if (gone.has(report.machine)) {
       nothing();
       return;
@@ -121,6 +124,9 @@
       nothing();
       return;
     }
+    const unknown = !machine.current || now - machine.lastSeen >= 3 * this.ctx.reportMs;
+    const strays = machine.strays.length;
+    const noticed = (machine.noticeS === null) !== (report.noticeS === null);
     machine.type = report.type;
     machine.zone = report.zone;
     machine.spot = report.spot;
@@ -151,7 +157,8 @@
     const answer = { machine, report, listed, reply };
     if (machine.live.size === before) {
       this.#answer(answer);
-      this.wake(false);
+      // What says nothing new gives no reason to go over all jobs: the next pass comes anyway.
+      if (unknown || noticed || machine.strays.length !== strays) this.wake(false);
       return;
     }
     // Tasks have ended. The answer waits a moment for the commit of their ends, which also
@@ -196,7 +203,11 @@
       commands.push(wire.startTask(live.task, live.attempt));
       this.ctx.log.debug({ task: live.task, machine: machine.id }, "start");
     }
-    reply({ status: 200, body: wire.reportAnswer(token, commands) });
+    reply(
+      commands.length === 0
+        ? this.#nothing
+        : { status: 200, body: wire.reportAnswer(token, commands) },
+    );
   }
 
   /** Whether all that an answer depends on is in the store. */
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -1,4 +1,4 @@
-import { isMap } from "./cbor.js";
+import { encode, isMap } from "./cbor.js";
 import type { Parsed } from "./jobs.js";
 
 export type TaskState = "fetching" | "running" | "saving" | "exited";
@@ -107,6 +107,8 @@
   baton: token,
   orders: commands,
 });
+/** Most answers carry no commands: all of these are the same. */
+export const emptyAnswer = (token: number): Buffer => encode(reportAnswer(token, []));
 /** Straight to a worker: only ever stops, which do no harm when they arrive late. */
 export const ordersPath = "/orders";
 export const ordersBody = (token: number, session: number, commands: Command[]): object => ({
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -12,7 +12,7 @@
 import type { JobSpec } from "../src/wire/jobs.js";
 import type { Command, Report } from "../src/wire/workers.js";
 import { FakeClock } from "./support/clock.js";
-import { LIMITS, quiet } from "./support/common.js";
+import { bodyOf, LIMITS, quiet } from "./support/common.js";
 import { Random } from "./support/random.js";
 import { FakeState, FakeStore } from "./support/store.js";
 
@@ -48,6 +48,8 @@
   readonly timely = new Set<string>();
   token = 0;
   lost = false;
+  /** Passes over the jobs. */
+  passes = 0;
   part!: Part;
 
   constructor(limits = LIMITS) {
@@ -79,7 +81,10 @@
         log: quiet,
         valid: () => true,
         types: () => new Map([["m4", { name: "m4", ...type }]]),
-        newTree: () => new Tree(defaultTuning([team]).groups),
+        newTree: () => {
+          this.passes++;
+          return new Tree(defaultTuning([team]).groups);
+        },
         evenOut: true,
         patience: 4,
         parts: 1,
@@ -135,7 +140,7 @@
     if (answer === null) await this.clock.run(250);
     const reply = answer as Reply | null;
     assert.ok(reply !== null);
-    return reply.status === 200 ? (reply.body as { orders: Command[] }).orders : [];
+    return reply.status === 200 ? (bodyOf(reply) as { orders: Command[] }).orders : [];
   }
 
   /** Where the store says that the task is placed, and with which attempt. */
@@ -474,3 +479,43 @@
   assert.deepEqual(orders, []);
   assert.equal(bench.placed(), null);
 });
+
+test("reports that say nothing new bring no passes of their own", async () => {
+  const bench = new Bench();
+  await bench.takeOver();
+  await bench.report("new", { token: 1 });
+  await bench.report("new", { seq: 2 });
+  await bench.clock.run(1000);
+  bench.passes = 0;
+  for (let seq = 3; seq < 43; seq++) {
+    await bench.report("new", { seq });
+    await bench.clock.run(25);
+  }
+  assert.ok(bench.passes <= 3, String(bench.passes));
+});
+
+test("a pass that changes nothing looks for nothing to write, and writes nothing", async () => {
+  const bench = new Bench();
+  await bench.takeOver();
+  // It waits for a machine.
+  bench.put({ put: "w/j/wk-000001", value: header() });
+  await bench.clock.run(6000);
+  // Every look for changes begins with the version of this key, and nothing else asks for it.
+  let looks = 0;
+  const { rows } = bench.mirror;
+  const get = rows.get.bind(rows);
+  rows.get = (key) => {
+    if (key === "w/cancels") looks++;
+    return get(key);
+  };
+  const { revision } = bench.state;
+  bench.passes = 0;
+  await bench.clock.run(3000);
+  assert.ok(bench.passes >= 5, String(bench.passes));
+  assert.equal(looks, 0);
+  assert.equal(bench.state.revision, revision);
+  await bench.report("new", { token: 1 });
+  await bench.report("new", { seq: 2 });
+  await bench.clock.run(1000);
+  assert.notEqual(bench.placed(), null);
+});
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -5,7 +5,7 @@
 import { decode, encode } from "../../src/wire/cbor.js";
 import type { Command } from "../../src/wire/workers.js";
 import { FakeClock } from "./clock.js";
-import { quiet } from "./common.js";
+import { bodyOf, quiet } from "./common.js";
 import { Random } from "./random.js";
 import { FakeState, FakeStore } from "./store.js";
 
@@ -374,7 +374,7 @@
     if (this.controllers[n] !== controller) return null;
     return {
       status: reply.status,
-      body: reply.body === undefined ? undefined : decode(encode(reply.body)),
+      body: bodyOf(reply),
     };
   }
 
