--- a/src/part/workers.ts
+++ b/src/part/workers.ts
@@ -124,9 +124,6 @@
       nothing();
       return;
     }
-    const unknown = !machine.current || now - machine.lastSeen >= 3 * this.ctx.reportMs;
-    const strays = machine.strays.length;
-    const noticed = (machine.noticeS === null) !== (report.noticeS === null);
     machine.type = report.type;
     machine.zone = report.zone;
     machine.spot = report.spot;
@@ -157,8 +154,8 @@
     const answer = { machine, report, listed, reply };
     if (machine.live.size === before) {
       this.#answer(answer);
-      // What says nothing new gives no reason to go over all jobs: the next pass comes anyway.
-      if (unknown || noticed || machine.strays.length !== strays) this.wake(false);
+      // Also for what says nothing new: on a quiet part, waiting for the regular pass made jobs late.
+      this.wake(false);
       return;
     }
     // Tasks have ended. The answer waits a moment for the commit of their ends, which also
