--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -23,6 +23,10 @@
   /** Tuning of the rental policy. */
   dear: number;
   headroom: number;
+  /** Whether a team's use keeps no machines. */
+  yields(team: string): boolean;
+  /** CPUs of idle machines that are kept beyond the own demand: none is rented for them. */
+  kept(): number;
   /** Whether we are certainly still the leader. */
   valid(): boolean;
 }
@@ -195,7 +199,12 @@
     const now = this.ctx.clock.now();
     const demand = summaries.reduce(
       (sum, { use, waiting }) =>
-        sum + waiting + Object.values(use).reduce((cpus, [used]) => cpus + used, 0),
+        sum +
+        waiting +
+        Object.entries(use).reduce(
+          (cpus, [team, [used]]) => cpus + (this.ctx.yields(team) ? 0 : used),
+          0,
+        ),
       0,
     );
     const bootMs = Math.max(1, ...[...this.#types.values()].map(({ bootS }) => bootS * 1000));
@@ -213,7 +222,7 @@
         if (machine === undefined || type === undefined || seconds * 1000 < this.ctx.leaseMs / 4) {
           continue;
         }
-        if (seconds * 1000 > 3 * bootMs) {
+        if (seconds * 1000 > 3 * bootMs && this.ctx.kept() === 0) {
           // Idle for that long while work waits: what waits may not use it, and it keeps the
           // cloud from renting us something else.
           chosen.push(id);
@@ -225,7 +234,7 @@
         idle.push({ id, cpus: type.cpus, price: price / Math.max(type.cpus, 1), headroom });
       }
     }
-    let left = capacity;
+    let left = capacity - this.ctx.kept();
     for (const { id, cpus, headroom } of idle.sort((a, b) => b.price - a.price)) {
       // The average never quite reaches zero.
       if (left - wanted * headroom < cpus - 0.5) continue;
--- /dev/null
+++ b/src/controller/controller.ts
@@ -0,0 +1,366 @@
+import type { Clock } from "../clock.js";
+import { Fleet } from "../cloud/fleet.js";
+import type { Attachment, Core, Extension, PlacingRules } from "../extension/index.js";
+import { type Amounts, Tree } from "../fair/share.js";
+import type { Caller } from "../http/client.js";
+import { type Reply, type Route, type Router, retryLater } from "../http/server.js";
+import { targetsOf } from "../jobs/due.js";
+import type { Log } from "../log.js";
+import { Layout } from "../membership/layout.js";
+import { Membership } from "../membership/membership.js";
+import { Metrics } from "../metrics.js";
+import type { PartContext } from "../part/part.js";
+import { isSummary, Summaries, type Summary } from "../part/summary.js";
+import type { Frame } from "../peer/frames.js";
+import { clusterOf, type Settings } from "../settings/settings.js";
+import { defaultTuning, type Tuning } from "../settings/tuning.js";
+import { keys } from "../state/keys.js";
+import { Mirror } from "../state/mirror.js";
+import type { Store } from "../state/store.js";
+import type { MachineType } from "../wire/cloud.js";
+import { statusPath } from "../wire/jobs.js";
+import { ordersBody } from "../wire/workers.js";
+import { Owners } from "./owners.js";
+import { Standing } from "./standing.js";
+import { Users } from "./users.js";
+
+/** How a controller reaches the rest of the world. Tests have stand-ins for all of it. */
+export interface Links {
+  store: Store;
+  cloud: Caller;
+  /** Sends a body to a worker's orders; nobody waits for the answer. */
+  order(address: string, body: object): void;
+  /** Tells the other controllers something that they may or may not hear. */
+  broadcast(frame: Frame): void;
+}
+
+export interface ControllerOptions {
+  settings: Settings;
+  /** Without it, every team has weight 1. */
+  tuning?: Tuning;
+  /** Optional packages that the operators have switched on. */
+  extensions?: readonly Extension[];
+  log: Log;
+  clock: Clock;
+  links: Links;
+  /** Tells this run of the process from earlier ones. */
+  run: string;
+}
+
+/** One controller: answers users and workers, owns parts, and leads when it is its turn. */
+export class Controller {
+  readonly router: Router;
+  readonly #settings: Settings;
+  readonly #tuning: Tuning;
+  readonly #clock: Clock;
+  readonly #links: Links;
+  readonly #core: Core;
+  readonly #membership: Membership;
+  readonly #metrics: Metrics;
+  readonly #users: Users;
+  readonly #owners: Owners;
+  readonly #standing: Standing;
+  readonly #limits: Map<string, Amounts>;
+  readonly #guarantees: Map<string, Amounts>;
+  readonly #gone = new Set<string>();
+  readonly #attached: Attachment[];
+  readonly #rules: PlacingRules | null;
+  #types = new Map<string, MachineType>();
+  #fleet: Fleet | null = null;
+  #led: { stop(): void }[] = [];
+  /** When anyone outside last asked us anything: the load balancer does so every second. */
+  #askedAt: number | null = null;
+  #watchedAt = 0;
+  #stopped = false;
+
+  constructor({ settings, tuning, extensions, log, clock, links, run }: ControllerOptions) {
+    const { params } = settings;
+    const reportMs = params.workers.report_s * 1000;
+    const mirror = new Mirror(links.store, clock, log, reportMs / 2);
+    const core: Core = {
+      settings,
+      log,
+      clock,
+      store: links.store,
+      mirror,
+      layout: new Layout(clusterOf(settings)),
+      summaries: new Summaries(),
+      types: () => this.#types,
+      contactAge: () => clock.now() - mirror.contactAt,
+    };
+    this.#core = core;
+    this.#settings = settings;
+    this.#tuning = tuning ?? defaultTuning(params.teams);
+    this.#clock = clock;
+    this.#links = links;
+    this.#metrics = new Metrics(clock, params.workers.lease_s * 1000);
+    this.#guarantees = new Map(
+      params.teams.map((team) => [team.name, { cpus: team.cpus, gpus: team.gpus }]),
+    );
+    this.#limits = new Map(
+      params.teams.map((team) => [team.name, { cpus: team.cpus_max, gpus: team.gpus_max }]),
+    );
+    this.#attached = (extensions ?? []).map((extension) => extension.attach(core));
+    this.#rules = this.#attached.find(({ rules }) => rules !== undefined)?.rules ?? null;
+    const most = new Map(this.#limits);
+    for (const { teams } of extensions ?? [])
+      for (const team of teams) most.set(team.name, team.most);
+    this.#standing = new Standing(
+      this.#guarantees,
+      targetsOf(params.objectives),
+      core.summaries,
+      clock,
+      reportMs / 4,
+    );
+    this.#owners = new Owners(
+      core,
+      () => this.#membership,
+      (index, token, lost) => this.#contextOf(index, token, lost),
+    );
+    this.#users = new Users(core, most, this.#owners.parts, this.#attached);
+    this.router = this.#routes();
+    this.#membership = new Membership(
+      settings.node_name,
+      run,
+      core.layout,
+      links.store,
+      mirror,
+      clock,
+      log,
+      {
+        gained: (index, token) => void this.#owners.gained(index, token),
+        lost: (index, why) => this.#owners.lost(index, why),
+        leading: (token) => this.#lead(token),
+        deposed: () => this.#depose(),
+      },
+      params.workers.lease_s,
+      (extensions ?? []).map(({ name }) => name),
+    );
+    this.#follow();
+  }
+
+  /** Everything that is watched for the core. */
+  #follow(): void {
+    const { mirror, layout, store } = this.#core;
+    this.#standing.follow(mirror, (id, header) => {
+      for (const owner of this.#owners.parts.values()) owner.tell({ kind: "header", id, header });
+    });
+    mirror.on(keys.node(""), () => {
+      // Survivors may use what the others do not.
+      let serving = 0;
+      for (const { name } of layout.members) if (mirror.rows.has(keys.node(name))) serving++;
+      store.divide(serving);
+    });
+    mirror.on("w/g/", ({ value }) => {
+      if (!Array.isArray(value)) return;
+      const machines = value.map(String);
+      for (const machine of machines) this.#gone.add(machine);
+      for (const owner of this.#owners.parts.values()) owner.tell({ kind: "gone", machines });
+    });
+    mirror.on("w/s/", ({ key, value }) => {
+      if (isSummary(value)) this.#hear(Number(key.slice(4)), value);
+    });
+    mirror.on(keys.types, ({ value }) => {
+      if (!Array.isArray(value)) return;
+      this.#types = new Map((value as MachineType[]).map((type) => [type.name, type]));
+    });
+  }
+
+  start(): void {
+    void this.#core.mirror.run();
+    this.#membership.start();
+    for (const attached of this.#attached) attached.start?.();
+    this.#watchReach();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#core.mirror.stop();
+    this.#membership.stop();
+    this.#depose();
+    for (const attached of this.#attached) attached.stop?.();
+    for (const part of this.#owners.parts.values()) part.tell({ kind: "stop" });
+  }
+
+  /** Something that another controller sent. */
+  hear(frame: Frame): void {
+    if (frame.kind === "summary") this.#hear(frame.part, frame.summary);
+  }
+
+  #hear(part: number, summary: Summary): void {
+    this.#core.summaries.offer(part, summary);
+    // Its owner speaks with a newer token than ours: we have been replaced, and out of touch.
+    const token = this.#membership.owned.get(part);
+    if (token !== undefined && summary.token > token) {
+      this.#membership.owned.delete(part);
+      this.#owners.lost(part, "another owner speaks");
+    }
+  }
+
+  /** Steps back while those outside do not reach us, though the state service does. */
+  #watchReach(): void {
+    const leaseMs = this.#settings.params.workers.lease_s * 1000;
+    const everyMs = leaseMs / 24;
+    const now = this.#clock.now();
+    // When this process itself was held up, nobody else is to blame for the silence.
+    const late = now - this.#watchedAt > everyMs * 3;
+    this.#watchedAt = now;
+    if (!late && this.#membership.valid()) {
+      const deaf = this.#askedAt !== null && now - this.#askedAt > leaseMs / 3;
+      const { parts } = this.#owners;
+      const leaving = [...parts.keys()].filter((i) => deaf || parts.get(i)!.cutOff());
+      if (leaving.length > 0 || (deaf && this.#fleet !== null)) {
+        this.#membership
+          .stepBack(leaving, deaf ? leaseMs / 2 : leaseMs * 4, "machines do not reach us")
+          .catch(() => undefined);
+      }
+    }
+    if (!this.#stopped) this.#clock.after(everyMs, () => this.#watchReach());
+  }
+
+  // ---- parts and leadership --------------------------------------------------------------
+
+  #contextOf(index: number, token: number, lost: (why: string) => void): PartContext {
+    const { store, mirror, clock, log, layout, summaries } = this.#core;
+    const { params } = this.#settings;
+    return {
+      index,
+      token,
+      store,
+      mirror,
+      clock,
+      log,
+      valid: () => this.#membership.valid(),
+      types: () => this.#types,
+      newTree: () => new Tree(this.#tuning.groups),
+      ...this.#tuning.preemption,
+      parts: layout.parts,
+      partsOf: (zone) => layout.partsOf(zone),
+      limits: this.#limits,
+      rules: this.#rules,
+      summaries,
+      metrics: this.#metrics,
+      targets: this.#standing.targets,
+      gone: this.#gone,
+      guaranteed: () => this.#standing.guaranteed(),
+      timely: () => this.#standing.timely(),
+      order: (address, session, commands) =>
+        this.#links.order(address, ordersBody(token, session, commands)),
+      announce: (summary) => {
+        this.#hear(index, summary);
+        this.#links.broadcast({ kind: "summary", part: index, summary });
+      },
+      reportMs: params.workers.report_s * 1000,
+      leaseMs: params.workers.lease_s * 1000,
+      lost,
+    };
+  }
+
+  #lead(token: number): void {
+    this.#depose();
+    const { store, mirror, clock, log, summaries } = this.#core;
+    const { params } = this.#settings;
+    const valid = (): boolean => this.#membership.valid() && this.#membership.leaderToken === token;
+    log.info({ token }, "leading");
+    this.#fleet = new Fleet({
+      token,
+      summaries,
+      cloud: this.#links.cloud,
+      store,
+      mirror,
+      clock,
+      log,
+      rps: params.cloud.rps,
+      listLagMs: params.cloud.list_lag_s * 1000,
+      leaseMs: params.workers.lease_s * 1000,
+      ...this.#tuning.rental,
+      yields: (team) => this.#rules?.yields(team) === true,
+      kept: () => this.#rules?.kept() ?? 0,
+      valid,
+    });
+    this.#fleet.start();
+    for (const { lead } of this.#attached)
+      if (lead !== undefined) this.#led.push(lead({ token, valid }));
+  }
+
+  #depose(): void {
+    this.#fleet?.stop();
+    this.#fleet = null;
+    for (const led of this.#led) led.stop();
+    this.#led = [];
+  }
+
+  // ---- requests --------------------------------------------------------------------------
+
+  #routes(): Router {
+    const users = this.#users;
+    const fixed = new Map<string, Route[]>([
+      ["/healthz", [{ method: "GET", run: () => this.#health() }]],
+      ["/metrics", [{ method: "GET", run: () => this.#showMetrics() }]],
+      [statusPath, [{ method: "GET", run: () => ({ status: 200, body: this.status() }) }]],
+      ["/checkin", [{ method: "POST", run: ({ body }) => this.#owners.report(body) }]],
+      ["/api/jobs", [{ method: "POST", run: ({ body }) => users.submit(body) }]],
+    ]);
+    const show: Route[] = [{ method: "GET", run: ({ params }) => users.show(params[0]!) }];
+    const cancel: Route[] = [{ method: "POST", run: ({ params }) => users.cancel(params[0]!) }];
+    return {
+      find: (path) => {
+        this.#askedAt = this.#clock.now();
+        const routes = fixed.get(path);
+        if (routes !== undefined) return { routes, params: [] };
+        const match = /^\/api\/jobs\/([^/]+)(\/withdraw)?$/.exec(path);
+        if (match !== null) {
+          return { routes: match[2] === undefined ? show : cancel, params: [match[1]!] };
+        }
+        for (const { find } of this.#attached) {
+          const found = find?.(path) ?? null;
+          if (found !== null) return found;
+        }
+        return null;
+      },
+    };
+  }
+
+  #health(): Reply {
+    const leaseMs = this.#settings.params.workers.lease_s * 1000;
+    const fresh = this.#core.contactAge() < leaseMs / 2;
+    if (this.#types.size > 0 && fresh) return { status: 200, body: { ok: true } };
+    return retryLater(503, "not ready");
+  }
+
+  async #showMetrics(): Promise<Reply> {
+    const text = await this.#metrics.text();
+    return text === null ? retryLater(503, "not loaded yet", 5) : { status: 200, text };
+  }
+
+  /** How things stand, as far as this controller knows; for people, and for whoever must be fair. */
+  status(): object {
+    const { layout, summaries } = this.#core;
+    const tree = new Tree(this.#tuning.groups);
+    const parts = layout.members.map((_, part) => {
+      const summary = summaries.of(part);
+      for (const [team, [cpus, gpus]] of Object.entries(summary?.use ?? {})) {
+        tree.charge(team, { cpus, gpus });
+      }
+      return {
+        part,
+        owner: this.#membership.ownerOf(part),
+        token: summary?.token ?? null,
+        waitingCpus: summary?.waiting ?? 0,
+        machines: summary?.machines.length ?? 0,
+        kinds: summary?.kinds ?? [],
+      };
+    });
+    const teams = [...this.#limits].map(([name, limit]) => ({
+      name,
+      use: tree.use(name),
+      guarantee: this.#guarantees.get(name),
+      limit,
+      share: tree.share(name),
+      jobs: this.#standing.jobsOf(name),
+    }));
+    const node = this.#settings.node_name;
+    const more = this.#attached.map(({ status }) => status?.() ?? {});
+    return Object.assign({ node, leads: this.#fleet !== null, teams, parts }, ...more);
+  }
+}
--- /dev/null
+++ b/src/controller/index.ts
@@ -0,0 +1,1 @@
+export { Controller, type ControllerOptions, type Links } from "./controller.js";
--- /dev/null
+++ b/src/controller/owners.ts
@@ -0,0 +1,86 @@
+import { sleep } from "../clock.js";
+import type { Core } from "../extension/index.js";
+import { type Reply, retryLater } from "../http/server.js";
+import type { Membership } from "../membership/membership.js";
+import { Part, type PartContext } from "../part/part.js";
+import { keys } from "../state/keys.js";
+import { parseReport, redirectAnswer } from "../wire/workers.js";
+
+/** The owner of the parts that are claimed by this controller: loads them and gives them up. */
+export class Owners {
+  readonly parts = new Map<number, Part>();
+
+  constructor(
+    readonly core: Core,
+    readonly membership: () => Membership,
+    /** What a part's owner works with. */
+    readonly context: (index: number, token: number, lost: (why: string) => void) => PartContext,
+  ) {}
+
+  async gained(index: number, token: number): Promise<void> {
+    const { settings, store, mirror, clock, log } = this.core;
+    const { owned } = this.membership();
+    const held = (): boolean => owned.get(index) === token;
+    log.info({ part: index, token }, "part claimed");
+    while (held()) {
+      try {
+        const { rows } = await store.list(keys.records(index));
+        await mirror.reached(token);
+        if (!held()) return;
+        const context = this.context(index, token, (why) => {
+          if (!held()) return;
+          owned.delete(index);
+          this.lost(index, why);
+        });
+        this.parts.set(index, new Part(context, rows));
+        return;
+      } catch (error) {
+        log.debug({ part: index, why: String(error) }, "part not loaded yet");
+        await sleep(clock, (settings.params.workers.report_s * 1000) / 8);
+      }
+    }
+  }
+
+  lost(index: number, why: string): void {
+    this.core.log.info({ part: index, why }, "part given up");
+    this.parts.get(index)?.tell({ kind: "stop" });
+    this.parts.delete(index);
+  }
+
+  /** A worker's report: for the part that its machine is in, whoever owns that. */
+  report(body: unknown): Reply | Promise<Reply> {
+    const { settings, layout, mirror } = this.core;
+    const parsed = parseReport(body);
+    if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
+    const report = parsed.value;
+    const index = layout.partOf(report.machine, report.zone);
+    const part = this.parts.get(index);
+    if (part === undefined) {
+      const owner = this.membership().ownerOf(index);
+      if (owner === null || owner === settings.node_name || !mirror.ready) {
+        return retryLater(503, "part has no owner yet");
+      }
+      return { status: 421, body: redirectAnswer(owner) };
+    }
+    // A job may be cancelled elsewhere without us hearing of it. Its tasks are gone in time only
+    // if the workers' leases end before that: so we stop answering early enough.
+    const { lease_s, cancel_s } = settings.params.workers;
+    if (this.core.contactAge() > (cancel_s - lease_s * 1.15) * 1000) {
+      return retryLater(503, "out of touch");
+    }
+    // Most reports are answered at once.
+    let answer: Reply | null = null;
+    let later: ((reply: Reply) => void) | null = null;
+    const reply = (given: Reply): void => {
+      if (later === null) answer = given;
+      else later(given);
+    };
+    part.tell({ kind: "report", report, reply });
+    return (
+      answer ??
+      new Promise((resolve) => {
+        later = resolve;
+      })
+    );
+  }
+}
--- /dev/null
+++ b/src/controller/standing.ts
@@ -0,0 +1,95 @@
+import type { Clock } from "../clock.js";
+import { type Amounts, minus, within } from "../fair/share.js";
+import { type Due, timely } from "../fair/timely.js";
+import { dueOf, type Targets } from "../jobs/due.js";
+import { chunksLeft, type Header, isHeader } from "../jobs/header.js";
+import type { Summaries } from "../part/summary.js";
+import type { Mirror } from "../state/mirror.js";
+
+/** How all open jobs stand, in whatever part they are: within a guarantee, and in time. */
+export class Standing {
+  readonly open = new Map<string, Header>();
+  /** Those of them that are within their team's guarantee; null when it has to be found anew. */
+  #inside: Set<string> | null = null;
+  #inTime = new Set<string>();
+  #inTimeAt = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    readonly guarantees: ReadonlyMap<string, Amounts>,
+    readonly targets: Targets,
+    readonly summaries: Summaries,
+    readonly clock: Clock,
+    /** For how long the answer about being in time is kept. */
+    readonly keepMs: number,
+  ) {}
+
+  /** Follows the headers; tells of each that changes, once it is known here. */
+  follow(mirror: Mirror, tell: (id: string, header: Header) => void): void {
+    mirror.on("w/j/", ({ key, value }) => {
+      if (!isHeader(value)) return;
+      const id = key.slice(4);
+      if (value.status !== "open") {
+        if (this.open.delete(id)) this.#inside = null;
+      } else {
+        if (!this.open.has(id)) this.#inside = null;
+        this.open.set(id, value);
+      }
+      tell(id, value);
+    });
+  }
+
+  jobsOf(team: string): number {
+    let count = 0;
+    for (const { spec } of this.open.values()) if (spec?.team === team) count++;
+    return count;
+  }
+
+  /**
+   * Jobs within their team's guarantee: they fit into it together with the team's earlier
+   * unfinished jobs, wherever those run. Such jobs should not have to wait for other teams.
+   */
+  guaranteed(): ReadonlySet<string> {
+    if (this.#inside !== null) return this.#inside;
+    this.#inside = new Set();
+    const left = new Map(this.guarantees);
+    for (const [id, { spec }] of [...this.open].sort(([, a], [, b]) => a.at - b.at)) {
+      const rest = spec === undefined ? undefined : left.get(spec.team);
+      if (spec === undefined || rest === undefined) continue;
+      const size = { cpus: spec.cpus * spec.tasks, gpus: spec.gpus * spec.tasks };
+      if (within(size, rest)) this.#inside.add(id);
+      left.set(spec.team, minus(rest, size));
+    }
+    return this.#inside;
+  }
+
+  /** Jobs that are to be in time, with the CPUs that their teams have now or are guaranteed. */
+  timely(): ReadonlySet<string> {
+    const now = this.clock.now();
+    if (now - this.#inTimeAt < this.keepMs) return this.#inTime;
+    this.#inTimeAt = now;
+    const wall = this.clock.wall();
+    const jobs = new Map<string, Due[]>();
+    for (const [id, { spec, at, owners, chunkSize }] of this.open) {
+      if (spec === undefined) continue;
+      const left = Math.min(spec.tasks, chunksLeft(owners) * chunkSize);
+      const due: Due = {
+        id,
+        rank: spec.rank,
+        leftS: (dueOf(spec, at, this.targets) - wall) / 1000,
+        taskS: spec.estimateS,
+        work: left * spec.cpus * spec.estimateS,
+      };
+      const list = jobs.get(spec.team);
+      if (list === undefined) jobs.set(spec.team, [due]);
+      else list.push(due);
+    }
+    this.#inTime = new Set();
+    for (const [team, list] of jobs) {
+      let cpus = 0;
+      for (const [, { use }] of this.summaries.all()) cpus += use[team]?.[0] ?? 0;
+      const most = Math.max(1, cpus, this.guarantees.get(team)?.cpus ?? 0);
+      for (const id of timely(list, most)) this.#inTime.add(id);
+    }
+    return this.#inTime;
+  }
+}
--- /dev/null
+++ b/src/controller/users.ts
@@ -0,0 +1,227 @@
+import type { Attachment, Core } from "../extension/index.js";
+import { type Amounts, within } from "../fair/share.js";
+import { type Reply, retryLater } from "../http/server.js";
+import {
+  chunkSizeFor,
+  type Header,
+  isHeader,
+  partChar,
+  shownStatus,
+  undivided,
+} from "../jobs/header.js";
+import type { Part } from "../part/part.js";
+import { roomOf } from "../part/summary.js";
+import { keys } from "../state/keys.js";
+import { Refused } from "../state/store.js";
+import { isJobId, type JobSpec, parseSubmission, statusBody } from "../wire/jobs.js";
+import { allowed, typeFits } from "../workers/machine.js";
+
+/** Answers users: takes, shows and cancels jobs, whoever owns the parts that run them. */
+export class Users {
+  constructor(
+    readonly core: Core,
+    /** The most that a team may ever use. */
+    readonly most: ReadonlyMap<string, Amounts>,
+    readonly parts: ReadonlyMap<number, Part>,
+    readonly attached: readonly Attachment[],
+  ) {}
+
+  #known(id: string): Header | null {
+    const row = this.core.mirror.rows.get(keys.job(id));
+    return row !== undefined && isHeader(row.value) ? row.value : null;
+  }
+
+  /** The newest state of a job. Final states are safe to remember; others are read anew. */
+  async #current(id: string): Promise<{ header: Header; version: number } | null> {
+    const { mirror, store } = this.core;
+    const known = mirror.rows.get(keys.job(id));
+    if (known !== undefined && isHeader(known.value) && known.value.status !== "open") {
+      return { header: known.value, version: known.version };
+    }
+    const row = await store.get(keys.job(id));
+    if (row === null) return null;
+    if (!isHeader(row.value)) throw new Error(`job ${id}: not a header`);
+    mirror.apply({ ...row, deleted: false });
+    return { header: row.value, version: row.version };
+  }
+
+  #unavailable(error: unknown): Reply {
+    this.core.log.debug({ why: String(error) }, "store not available");
+    return retryLater(503, "state service not available", error instanceof Refused ? 2 : 1);
+  }
+
+  async submit(body: unknown): Promise<Reply> {
+    const { store, mirror, log } = this.core;
+    const parsed = parseSubmission(body);
+    if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
+    const { id, spec } = parsed.value;
+    try {
+      if (this.#known(id) === null) {
+        if (this.core.types().size === 0) return retryLater(503, "machine types not known yet");
+        const never = this.#neverRuns(spec);
+        if (never !== null) {
+          // Only a job that was never accepted may be refused.
+          const known = await this.#current(id);
+          if (known === null) return { status: 422, body: { error: never } };
+        } else {
+          const notNow = this.#notNow(spec);
+          if (notNow !== null && (await this.#current(id)) === null) return retryLater(503, notNow);
+          // Users are few and come first; what the service refuses is answered with 503.
+          store.writes.force(1);
+          const header = this.#newHeader(spec);
+          const result = await store.transact(
+            [{ key: keys.job(id), version: 0 }],
+            [{ put: keys.job(id), value: header }],
+          );
+          if (result.ok) {
+            log.debug({ job: id, owners: header.owners }, "job accepted");
+            mirror.apply({
+              key: keys.job(id),
+              value: header,
+              version: result.revision,
+              deleted: false,
+            });
+            return { status: 201, body: statusBody(id, "pending") };
+          }
+        }
+      }
+      const known = await this.#current(id);
+      if (known === null) return retryLater(503, "try again");
+      return { status: 200, body: statusBody(id, shownStatus(known.header)) };
+    } catch (error) {
+      return this.#unavailable(error);
+    }
+  }
+
+  #neverRuns(spec: JobSpec): string | null {
+    const limit = this.most.get(spec.team);
+    if (limit === undefined) return "unknown team";
+    if (![...this.core.types().values()].some((type) => typeFits(spec, type))) {
+      return "a task fits no allowed machine type";
+    }
+    const times = spec.kind === "array" ? 1 : spec.tasks;
+    if (!within({ cpus: spec.cpus * times, gpus: spec.gpus * times }, limit)) {
+      return "more than the team's limit";
+    }
+    return null;
+  }
+
+  #notNow(spec: JobSpec): string | null {
+    for (const { refuses } of this.attached) {
+      const reason = refuses?.(spec.team) ?? null;
+      if (reason !== null) return reason;
+    }
+    return null;
+  }
+
+  /** Splits a job's tasks between the parts, by the room they have. */
+  #newHeader(spec: JobSpec): Header {
+    const { layout, summaries, store, clock } = this.core;
+    const { parts } = layout;
+    const chunkSize = chunkSizeFor(spec.tasks, parts, store.limits.valueBytes);
+    const count = Math.ceil(spec.tasks / chunkSize);
+    const rules = this.attached.find((one) => one.rules?.yields(spec.team))?.rules;
+    const room = Array.from({ length: parts }, (_, part) => {
+      const summary = summaries.of(part);
+      // Where a team has an allowance, that is all the room there is for it.
+      const allowance = rules?.allowance(spec.team, part);
+      if (allowance != null) return allowance.start.cpus - (summary?.use[spec.team]?.[0] ?? 0);
+      if (summary === undefined) return 0;
+      return roomOf(summary.kinds, (kind) => allowed(spec, kind)).free - summary.waiting;
+    });
+    let owners = "";
+    const eligible = spec.zone === null ? [...room.keys()] : layout.partsOf(spec.zone);
+    let pinned: number | null = null;
+    for (let i = 0; i < count; i++) {
+      let best = eligible[0]!;
+      for (const part of eligible) if (room[part]! > room[best]!) best = part;
+      // Gangs and zone rules concern all tasks of a job at once, so one part has all of them.
+      if (undivided(spec)) {
+        pinned ??= best;
+        best = pinned;
+      }
+      room[best]! -= chunkSize * spec.cpus;
+      owners += partChar(best);
+    }
+    return {
+      status: "open",
+      spec,
+      owners,
+      chunkSize,
+      at: Math.round(clock.wall()),
+      started: false,
+      moves: 0,
+      tasks: spec.tasks,
+    };
+  }
+
+  async show(id: string): Promise<Reply> {
+    if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
+    try {
+      const known = await this.#current(id);
+      if (known === null) return { status: 404, body: { error: "no such job" } };
+      return {
+        status: 200,
+        body: statusBody(id, shownStatus(known.header), this.#counts(id, known.header)),
+      };
+    } catch (error) {
+      return this.#unavailable(error);
+    }
+  }
+
+  /** For display: what the finished chunks and our own parts say. */
+  #counts(id: string, header: Header): { done: number; running: number } {
+    if (header.status === "done") return { done: header.tasks, running: 0 };
+    let done = 0;
+    let running = 0;
+    for (let i = 0; i < header.owners.length; i++) {
+      if (header.owners[i] !== "x") continue;
+      done += Math.min(header.chunkSize, header.tasks - i * header.chunkSize);
+    }
+    for (const part of this.parts.values()) {
+      for (const chunk of part.jobs.get(id)?.chunks.values() ?? []) {
+        if (header.owners[chunk.index] !== "x") done += chunk.doneCount;
+        for (const live of chunk.live.values()) if (live.running) running++;
+      }
+    }
+    return { done, running };
+  }
+
+  async cancel(id: string): Promise<Reply> {
+    const { store, mirror, log } = this.core;
+    if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
+    try {
+      for (let attempt = 0; attempt < 4; attempt++) {
+        const known = await this.#current(id);
+        if (known === null) return { status: 404, body: { error: "no such job" } };
+        const { header, version } = known;
+        if (header.status !== "open") {
+          return { status: 200, body: statusBody(id, header.status) };
+        }
+        store.writes.force(2);
+        const next: Header = { ...header, status: "cancelled" };
+        const result = await store.transact(
+          [{ key: keys.job(id), version }],
+          [
+            { put: keys.job(id), value: next },
+            // Placements that do not know of it yet depend on this key's former version.
+            { put: keys.cancels, value: id },
+          ],
+        );
+        if (result.ok) {
+          mirror.apply({
+            key: keys.job(id),
+            value: next,
+            version: result.revision,
+            deleted: false,
+          });
+          log.info({ job: id }, "job cancelled");
+          return { status: 200, body: statusBody(id, "cancelled") };
+        }
+      }
+      return retryLater(503, "try again");
+    } catch (error) {
+      return this.#unavailable(error);
+    }
+  }
+}
--- a/src/fair/preempt.ts
+++ b/src/fair/preempt.ts
@@ -9,6 +9,8 @@
   size: Amounts;
   /** Saved work first, among otherwise equal ones. */
   loss: number;
+  /** Stands behind the asker whatever the shares: what it is worth, the least is stopped first. */
+  yields?: number;
 }
 
 export interface Asker {
@@ -26,7 +28,7 @@
   evenPatience: number;
 }
 
-export type Reason = "priority" | "reclaim" | "fair" | "greedy";
+export type Reason = "priority" | "reclaim" | "fair" | "greedy" | "yield";
 
 export interface Pick {
   victim: Victim;
@@ -50,6 +52,7 @@
  * `greedy` S2-b; `priority` is what PROTOCOL allows inside a team.
  */
 export function mayStop(tree: Tree, asker: Asker, victim: Victim): Reason | null {
+  if (victim.yields !== undefined) return "yield";
   const affordable = asker.entitled || victim.loss <= asker.patience;
   if (victim.team === asker.team) {
     return affordable && victim.rank < asker.rank ? "priority" : null;
@@ -130,9 +133,11 @@
   bestShares: number[],
 ): boolean {
   if ((reason === "greedy") !== (best.reason === "greedy")) return best.reason === "greedy";
+  if ((reason === "yield") !== (best.reason === "yield")) return reason === "yield";
+  const other = best.victim;
+  if (victim.yields !== other.yields) return (victim.yields ?? 0) < (other.yields ?? 0);
   const byShare = compareShares(shares, bestShares);
   if (byShare !== 0) return byShare > 0;
-  const other = best.victim;
   if (victim.rank !== other.rank) return victim.rank < other.rank;
   if (victim.size.cpus !== other.size.cpus) return victim.size.cpus < other.size.cpus;
   return victim.loss < other.loss;
--- a/src/fair/share.ts
+++ b/src/fair/share.ts
@@ -97,7 +97,8 @@
 
   /** How much of its guarantee a team uses, by the resource it uses most of. */
   filled(team: string): number {
-    const { nominal } = this.#groups.get(team)!;
+    // A team that this controller does not know may have jobs: another controller took them.
+    const nominal = this.#groups.get(team)?.nominal ?? NOTHING;
     const use = this.use(team);
     const ratio = (used: number, of: number): number => (of > 0 ? used / of : used > 0 ? 1 : 0);
     return Math.max(ratio(use.cpus, nominal.cpus), ratio(use.gpus, nominal.gpus));
--- a/src/main.ts
+++ b/src/main.ts
@@ -5,8 +5,8 @@
   ControllerNode,
   JobClient,
   type JobView,
+  loadOperators,
   loadSettings,
-  loadTuning,
   openLog,
   RequestRefused,
   SettingsError,
@@ -42,20 +42,20 @@
   }
 }
 
-async function serve(options: { config?: string; tuning?: string }): Promise<void> {
-  const { config, tuning: file } = options;
+async function serve(options: { config?: string; tuning?: string[] }): Promise<void> {
+  const { config, tuning: files = [] } = options;
   if (config === undefined) {
     return program.error("error: give --config <file> or a command; see --help", {
       exitCode: USAGE,
     });
   }
   const settings = loadSettings(config);
-  const tuning = file === undefined ? undefined : loadTuning(file, settings);
+  const operators = await loadOperators(files, settings);
   const log = openLog(settings.node_name);
   // Whatever goes wrong in one request must not end the others.
   process.on("uncaughtException", (error) => log.error({ err: error }, "unexpected"));
   process.on("unhandledRejection", (error) => log.error({ err: error }, "unexpected"));
-  await new ControllerNode({ settings, tuning, log }).start();
+  await new ControllerNode({ settings, ...operators, log }).start();
 }
 
 function readJob(file: string): unknown {
@@ -70,7 +70,11 @@
 const program = new Command("birchdale")
   .description("A cluster scheduler with fair sharing between teams.")
   .version(VERSION)
-  .option("--tuning <file>", "the operators' own settings (protobuf text format)")
+  .option(
+    "--tuning <file>",
+    "the operators' own settings (protobuf text format); several files are merged",
+    (file: string, files: string[] = []) => [...files, file],
+  )
   .option("--config <file>", "run a controller with these settings (TOML)")
   .action(serve)
   .exitOverride()
@@ -86,10 +90,9 @@
   .command("check")
   .description("check a settings file, and with --tuning the operators' settings")
   .argument("<settings>", "settings file (TOML)")
-  .action((file: string) => {
+  .action(async (file: string) => {
     const settings = loadSettings(file);
-    const { tuning } = program.opts<{ tuning?: string }>();
-    if (tuning !== undefined) loadTuning(tuning, settings);
+    await loadOperators(program.opts<{ tuning?: string[] }>().tuning ?? [], settings);
     process.stdout.write("ok\n");
   });
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -50,6 +50,8 @@
     readonly log: Log,
     readonly handlers: Handlers,
     leaseS: number,
+    /** Optional packages that this controller has loaded. */
+    readonly speaks: readonly string[] = [],
   ) {
     // A quarter of the workers' lease: after a crash there is time to take over, load and answer
     // before the workers give up their tasks.
@@ -153,13 +155,18 @@
     if (!this.#present || shy !== this.#shownShy) {
       await this.store.transact(
         [],
-        [{ put: keys.node(this.node), value: { run: this.run, shy }, lease: this.#lease }],
+        [{ put: keys.node(this.node), value: this.#presence(shy), lease: this.#lease }],
       );
       this.#present = true;
       this.#shownShy = shy;
     }
   }
 
+  #presence(shy: boolean): object {
+    const { run, speaks } = this;
+    return speaks.length === 0 ? { run, shy } : { run, shy, speaks };
+  }
+
   #shy(): boolean {
     return this.clock.now() < this.#shyUntil;
   }
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,7 +1,8 @@
 import { randomUUID } from "node:crypto";
 import { Agent, type Server } from "node:http";
 import { type Clock, systemClock } from "./clock.js";
-import { Controller } from "./controller.js";
+import { Controller } from "./controller/index.js";
+import type { Extension } from "./extension/index.js";
 import { HttpClient } from "./http/client.js";
 import { startServer } from "./http/server.js";
 import type { Log } from "./log.js";
@@ -14,6 +15,7 @@
 export interface NodeOptions {
   settings: Settings;
   tuning?: Tuning;
+  extensions?: readonly Extension[];
   log: Log;
   clock?: Clock;
 }
@@ -30,7 +32,7 @@
   readonly #workers: Agent;
   #server: Server | null = null;
 
-  constructor({ settings, tuning, log, clock = systemClock }: NodeOptions) {
+  constructor({ settings, tuning, extensions, log, clock = systemClock }: NodeOptions) {
     this.#settings = settings;
     this.#log = log;
     const { params, services } = settings;
@@ -61,6 +63,7 @@
     this.#controller = new Controller({
       settings,
       tuning,
+      extensions,
       log,
       clock,
       run: randomUUID(),
--- a/src/part/balancing.ts
+++ b/src/part/balancing.ts
@@ -1,4 +1,4 @@
-import { EPSILON } from "../fair/share.js";
+import { EPSILON, within } from "../fair/share.js";
 import { undivided } from "../jobs/header.js";
 import type { MachineType } from "../wire/cloud.js";
 import { allowed, type Machine, unreserved } from "../workers/machine.js";
@@ -32,6 +32,8 @@
   return [...kinds.values()];
 }
 
+const NOWHERE = { capacity: 0, free: 0, most: 0 };
+
 interface Other {
   part: number;
   kinds: KindRoom[];
@@ -46,6 +48,16 @@
 
   constructor(readonly ctx: PartContext) {}
 
+  /** Whether a job may use anything in a part: of teams with allowances, only where they have one. */
+  #granted({ spec }: Job): (part: number) => boolean {
+    const { rules } = this.ctx;
+    if (rules === null) return () => true;
+    return (part) => {
+      const allowance = rules.allowance(spec.team, part);
+      return allowance === null || within(spec, allowance.start);
+    };
+  }
+
   #others(): Other[] {
     const others: Other[] = [];
     for (const [part, summary] of this.ctx.summaries.all()) {
@@ -79,9 +91,11 @@
       );
       if (idle.length === 0 || (pinned && idle.length < job.chunks.size)) continue;
       const usable = (kind: KindRoom): boolean => allowed(spec, kind);
-      const here = roomOf(own, usable);
+      const granted = this.#granted(job);
+      const here = granted(this.ctx.index) ? roomOf(own, usable) : NOWHERE;
       const rooms = others
         .filter(({ part }) => allowedParts === null || allowedParts.includes(part))
+        .filter(({ part }) => granted(part))
         .map((other) => ({ other, there: roomOf(other.kinds, usable) }))
         .filter(({ there }) => there.capacity > 0);
       for (const group of pinned ? [idle] : idle.map((chunk) => [chunk])) {
--- a/src/part/context.ts
+++ b/src/part/context.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../clock.js";
+import type { PlacingRules } from "../extension/index.js";
 import type { Amounts, Tree } from "../fair/share.js";
 import type { Targets } from "../jobs/due.js";
 import type { Log } from "../log.js";
@@ -29,6 +30,8 @@
   /** Parts whose machines may be in a zone. */
   partsOf(zone: string): number[];
   limits: ReadonlyMap<string, Amounts>;
+  /** What an optional package says about placing. */
+  rules: PlacingRules | null;
   summaries: Summaries;
   metrics: Metrics;
   /** Machines that the cloud has confirmed to be gone. */
--- a/src/part/ledger.ts
+++ b/src/part/ledger.ts
@@ -149,10 +149,13 @@
     return true;
   }
 
-  /** CPUs of all tasks that wait here. */
+  /** CPUs of all tasks that wait here; what yields presses on nobody. */
   get waitingCpus(): number {
+    const { rules } = this.ctx;
     let sum = 0;
-    for (const job of this.jobs.values()) if (job.open) sum += job.waiting * job.spec.cpus;
+    for (const job of this.jobs.values()) {
+      if (job.open && rules?.yields(job.spec.team) !== true) sum += job.waiting * job.spec.cpus;
+    }
     return Math.round(sum);
   }
 
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -18,6 +18,7 @@
 import { Quota } from "./quota.js";
 import type { Need, Summary } from "./summary.js";
 import { Workers } from "./workers.js";
+import { roomsOf, starvedOf, withdrawAllowances } from "./yielding.js";
 
 export type { PartContext } from "./context.js";
 
@@ -57,6 +58,7 @@
   #sentAt = 0;
   #lastState = "";
   #summaries = 0;
+  #starved = 0;
 
   constructor(
     readonly ctx: PartContext,
@@ -240,11 +242,14 @@
     this.#quota.begin();
     const pass = beginPass(this.ctx, this.#ledger);
     const blocked = this.#placing.run(pass);
+    if (this.ctx.rules !== null) this.#starved = starvedOf(blocked, this.#quota, this.ctx.rules);
     if (blocked.length > 0) {
       // Where there is room elsewhere, nothing has to be stopped here.
       if (this.#balancing.run(blocked, pass, this.#ledger.waitingCpus)) this.#ledger.changes++;
       this.#preempting.run(blocked, pass);
     }
+    if (this.ctx.rules !== null)
+      withdrawAllowances(this.ctx.rules, this.ctx, this.#ledger, this.#workers);
     this.#workers.sendOrders();
     this.#summarize();
     if (!this.#commits.flush()) this.#soon(this.ctx.reportMs / 10);
@@ -307,8 +312,10 @@
       Object.fromEntries([...map].map(([team, a]) => [team, [a.cpus, a.gpus]]));
     const needs = new Map<string, Need>();
     let workS = 0;
+    const { rules } = this.ctx;
     for (const job of this.jobs.values()) {
-      if (!job.open || job.failures > 1) continue;
+      // No machine is rented for those who yield.
+      if (!job.open || job.failures > 1 || rules?.yields(job.spec.team) === true) continue;
       const count = job.waiting;
       if (count === 0) continue;
       const { cpus, gpus, memGb, spot, types, zone, estimateS } = job.spec;
@@ -336,6 +343,9 @@
         idle[machine.id] = Math.round((now - machine.idleSince) / 1000);
     }
     return {
+      ...(rules === null
+        ? {}
+        : { rooms: roomsOf(machines, this.ctx), starved: Math.round(this.#starved) }),
       use: pairs(this.#ledger.use),
       demand,
       need: [...needs.values()].slice(0, 40),
--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -85,6 +85,7 @@
       }
     }
     const timely = this.ctx.timely();
+    const { rules } = this.ctx;
     for (const queue of queues.values()) {
       queue.sort((a, b) => {
         const x = guaranteed.has(a.id);
@@ -96,7 +97,13 @@
       // The lowest share starts first.
       let team = "";
       let shares: number[] = [];
+      let behind = true;
       for (const name of queues.keys()) {
+        // Who yields comes when nobody else has anything left that fits.
+        const yields = rules?.yields(name) === true;
+        if (yields && !behind) continue;
+        if (behind && !yields) team = "";
+        behind = yields;
         const own = tree.shares(name);
         // Below their guarantees all shares are zero: then the one with the least of it.
         const order = team === "" ? -1 : compareShares(own, shares);
--- a/src/part/preempting.ts
+++ b/src/part/preempting.ts
@@ -61,8 +61,13 @@
     // would overshoot, and the next moment the other way round.
     let even = this.ctx.evenOut && now - this.#evenedAt > this.ctx.leaseMs;
     // What is within a guarantee does not wait; anything else gives room a chance to turn up.
+    const { rules } = this.ctx;
+    // Those who yield make room without delay, and never ask for any.
+    const prompt = rules !== null && this.#anyYields(machines);
     const askers = blocked.filter(
-      (job) => guaranteed.has(job.id) || now - job.waitingSince >= this.ctx.leaseMs,
+      (job) =>
+        rules?.yields(job.spec.team) !== true &&
+        (prompt || guaranteed.has(job.id) || now - job.waitingSince >= this.ctx.leaseMs),
     );
     const timely = this.ctx.timely();
     const missing = this.#missingQuota(blocked, timely);
@@ -80,7 +85,9 @@
       if (!this.quota.fits(spec, together)) continue;
       const entitled = guaranteed.has(job.id);
       const rank = entitled ? spec.rank : rankOf(job, timely);
-      const patience = Math.max(0, now - job.waitingSince - this.ctx.leaseMs);
+      // Asked early only for the sake of those who yield: the others are not concerned yet.
+      const waited = now - job.waitingSince - this.ctx.leaseMs;
+      const patience = waited < 0 && prompt ? -1 : Math.max(0, waited);
       const asker: Asker = {
         team: spec.team,
         rank,
@@ -88,7 +95,7 @@
         entitled,
         patience,
         // Nothing has a loss below zero.
-        evenPatience: even ? patience / this.ctx.patience : -1,
+        evenPatience: even && patience >= 0 ? patience / this.ctx.patience : -1,
       };
       // Another job like it, with the same rights, has just found nothing.
       const like = entitled ? `${spec.team}/${rank}/${spec.cpus}/${spec.memGb}/${spec.spot}` : "";
@@ -121,6 +128,16 @@
     }
   }
 
+  #anyYields(machines: readonly Machine[]): boolean {
+    const { rules } = this.ctx;
+    return machines.some((machine) => {
+      for (const { chunk } of machine.live.values()) {
+        if (rules?.yields(chunk.spec.team) === true) return true;
+      }
+      return false;
+    });
+  }
+
   /** By team, the CPUs that jobs lack for want of quota, with the priority that lacks them. */
   #missingQuota(blocked: readonly Job[], timely: ReadonlySet<string>): Map<string, Missing> {
     const missing = new Map<string, Missing>();
@@ -179,6 +196,7 @@
   }
 
   #collect({ machines, types, now }: Pass): void {
+    const { rules, index } = this.ctx;
     this.#rooms = new Map();
     this.#candidates = new Map();
     this.#byMachine = new Map();
@@ -202,6 +220,7 @@
           const { team, rank } = spec;
           const size = { cpus: 0, gpus: 0 };
           candidate = { id, team, rank, size, loss: 0, tasks: [], spec };
+          if (rules?.yields(team) === true) candidate.yields = rules.worth(team, index);
           this.#candidates.set(id, candidate);
         }
         candidate.size = add(candidate.size, spec);
@@ -226,7 +245,8 @@
   ): { hosts: Machine[]; picks: Pick[] } | null {
     const { spec } = job;
     const concerned = new Map<string, boolean>();
-    const concerns = ({ team, rank }: Candidate): boolean => {
+    const concerns = ({ team, rank, yields }: Candidate): boolean => {
+      if (yields !== undefined) return true;
       if (team === asker.team) return rank < asker.rank;
       let known = concerned.get(team);
       if (known === undefined) {
@@ -276,11 +296,13 @@
   /** Lower is better: the order of KEP-1714 for what has to be stopped together. */
   #cost(picks: readonly Pick[], tree: Pass["tree"]): number[] {
     const greedy = picks.some(({ reason }) => reason === "greedy") ? 1 : 0;
+    const others = picks.some(({ reason }) => reason !== "yield") ? 1 : 0;
+    const worth = picks.reduce((sum, { victim }) => sum + (victim.yields ?? 0), 0);
     const share = Math.min(...picks.map(({ victim }) => tree.share(victim.team)));
     const rank = Math.max(...picks.map(({ victim }) => victim.rank));
     const cpus = picks.reduce((sum, { victim }) => sum + victim.size.cpus, 0);
     const loss = picks.reduce((sum, { victim }) => sum + victim.loss, 0);
-    return [greedy, -share, rank, cpus, loss];
+    return [greedy, others, worth, -share, rank, cpus, loss];
   }
 
   /** For a gang, whose tasks may be on any machines. */
@@ -327,7 +349,9 @@
   #stop(candidate: Candidate, reason: Pick["reason"], job: Job | null, { tree }: Pass): void {
     const { id, spec, team, size, tasks } = candidate;
     this.#candidates.delete(id);
-    const grace = spec.checkpointS > 0 ? spec.saveS + this.ctx.reportMs / 1000 : 0;
+    // Nobody's task queues behind the save of one that yields.
+    const saves = spec.checkpointS > 0 && reason !== "yield";
+    const grace = saves ? spec.saveS + this.ctx.reportMs / 1000 : 0;
     for (const { live, machine } of tasks) {
       this.workers.stop(live, grace, reason);
       give(this.#rooms.get(machine)!, spec, 1);
--- a/src/part/quota.ts
+++ b/src/part/quota.ts
@@ -108,9 +108,18 @@
     return (this.ledger.use.get(team) ?? ZERO).cpus - Math.ceil(most);
   }
 
+  /** CPUs of a team's slice that its tasks here do not use. */
+  left(team: string): number {
+    const slice = this.#slices.get(team) ?? ZERO;
+    return Math.max(0, slice.cpus - (this.ledger.use.get(team) ?? ZERO).cpus);
+  }
+
   fits(spec: JobSpec, tasks = 1): boolean {
     const size = { cpus: spec.cpus * tasks, gpus: spec.gpus * tasks };
     const use = add(this.ledger.use.get(spec.team) ?? ZERO, size);
+    // An allowance is this part's alone, so it needs no slice.
+    const allowance = this.ctx.rules?.allowance(spec.team, this.ctx.index);
+    if (allowance != null) return within(use, allowance.start);
     const slice = this.#slices.get(spec.team) ?? ZERO;
     const fair = this.#fair.get(spec.team);
     // Else what ends here would be replaced before the slice is lowered, again and again.
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -19,11 +19,24 @@
   retired: string[];
   /** Machines without tasks, with seconds idle. */
   idle: Record<string, number>;
+  /** Free room machine by machine, alike ones together; only with a package that asks for it. */
+  rooms?: FreeRoom[];
+  /** CPUs of waiting tasks that only lack room: within their team's slice, and not yielding. */
+  starved?: number;
   token: number;
   /** Counts the summaries of one owner. */
   seq: number;
 }
 
+/** `[cpus, gpus, memGb, count]` of machines with the same free room and zone. */
+export interface FreeRoom {
+  zone: string;
+  cpus: number;
+  gpus: number;
+  memGb: number;
+  count: number;
+}
+
 export interface KindRoom {
   type: string;
   zone: string;
--- /dev/null
+++ b/src/settings/operators.ts
@@ -0,0 +1,77 @@
+import { readFileSync } from "node:fs";
+import type { Extension } from "../extension/index.js";
+import { type Settings, SettingsError } from "./settings.js";
+import {
+  build,
+  type PackageSchema,
+  parseSources,
+  type Refuse,
+  type Source,
+  type Tuning,
+} from "./tuning.js";
+
+/** What an optional package exports at its door for the operators' settings. */
+export interface PackageDoor {
+  schema: PackageSchema;
+  /** Checks the package's message; ends by `refuse` when something is wrong with it. */
+  open(raw: unknown, settings: Settings, refuse: Refuse): Extension;
+}
+
+/**
+ * The optional packages by the name of their message. Nothing of them is loaded, and nothing is in
+ * the bundle that a controller starts with, unless a file holds the message.
+ */
+const PACKAGES: Record<string, () => Promise<{ door: PackageDoor }>> = {};
+
+/** All that the operators' own files say. */
+export interface Operators {
+  tuning: Tuning | undefined;
+  extensions: Extension[];
+}
+
+/** Names of the fields at the top of a file, without comments, strings and what is in braces. */
+export function topFields(text: string): Set<string> {
+  const found = new Set<string>();
+  let depth = 0;
+  const tokens = /#[^\n]*|"(?:\\.|[^"\\\n])*"|'(?:\\.|[^'\\\n])*'|[{}<>]|[A-Za-z_]\w*(?=\s*[:{<])/g;
+  for (const [token] of text.matchAll(tokens)) {
+    if (token === "{" || token === "<") depth++;
+    else if (token === "}" || token === ">") depth--;
+    else if (depth === 0 && /^[A-Za-z_]/.test(token)) found.add(token);
+  }
+  return found;
+}
+
+/** @throws SettingsError with file, line and reason, before anything has started */
+export async function loadOperators(
+  files: readonly string[],
+  settings: Settings,
+): Promise<Operators> {
+  const sources: Source[] = files.map((file) => {
+    try {
+      return { file, text: readFileSync(file, "utf8") };
+    } catch (error) {
+      throw new SettingsError(`${file}: ${(error as NodeJS.ErrnoException).code ?? "unreadable"}`);
+    }
+  });
+  return parseOperators(sources, settings);
+}
+
+export async function parseOperators(
+  sources: readonly Source[],
+  settings: Settings,
+): Promise<Operators> {
+  if (sources.length === 0) return { tuning: undefined, extensions: [] };
+  const named = new Set(sources.flatMap(({ text }) => [...topFields(text)]));
+  const doors: PackageDoor[] = [];
+  for (const [name, load] of Object.entries(PACKAGES)) {
+    if (named.has(name)) doors.push((await load()).door);
+  }
+  const { raw, refuse } = parseSources(
+    sources,
+    doors.map(({ schema }) => schema),
+  );
+  const extensions = doors.map(({ schema, open }) => open(raw[schema.field], settings, refuse));
+  const extra = extensions.flatMap(({ teams }) => [...teams]);
+  return { tuning: build(raw, settings.params.teams, refuse, extra), extensions };
+}
--- a/src/settings/tuning.ts
+++ b/src/settings/tuning.ts
@@ -1,9 +1,9 @@
-import { readFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import type * as Protobuf from "protobufjs";
 import type * as TextFormat from "protobufjs/ext/textformat.js";
+import type { ExtraTeam } from "../extension/index.js";
 import { type Amounts, add, type Group, ROOT } from "../fair/share.js";
-import { type Settings, SettingsError, type Team } from "./settings.js";
+import { SettingsError, type Team } from "./settings.js";
 
 /** The operators' own settings, as `deploy/tuning.example.textproto` explains them. */
 const SCHEMA = `
@@ -49,9 +49,30 @@
   repeated Team team = 2;
   optional Preemption preemption = 3;
   optional Rental rental = 4;
-}
+  // Messages of optional packages follow, from number 100.
+%PACKAGES%}
 `;
 
+/** A package's own message in the operators' settings: its presence switches the package on. */
+export interface PackageSchema {
+  /** The field in the settings, such as `market`. */
+  field: string;
+  /** From 100, never used again for something else. */
+  number: number;
+  /** The message's name and, in the language of protobuf, it and what it consists of. */
+  message: string;
+  schema: string;
+}
+
+/** A file of the operators' settings. */
+export interface Source {
+  file: string;
+  text: string;
+}
+
+/** Ends with one line: the file and line where the text nearest to the mistake stands first. */
+export type Refuse = (reason: string, near: string) => never;
+
 export interface Tuning {
   /** Teams and groups with the root, ready for a tree. */
   groups: Group[];
@@ -67,7 +88,7 @@
   lending?: Partial<Amounts>;
 }
 
-interface Raw {
+export interface Raw {
   group?: RawGroup[];
   team?: RawGroup[];
   preemption?: { even_out?: boolean; patience?: number };
@@ -81,36 +102,67 @@
   });
 }
 
-export function loadTuning(file: string, settings: Settings): Tuning {
-  let text: string;
-  try {
-    text = readFileSync(file, "utf8");
-  } catch (error) {
-    throw new SettingsError(`${file}: ${(error as NodeJS.ErrnoException).code ?? "unreadable"}`);
-  }
-  return parseTuning(text, file, settings.params.teams);
+export function parseTuning(text: string, file: string, teams: readonly Team[]): Tuning {
+  const { raw, refuse } = parseSources([{ text, file }], []);
+  return build(raw, teams, refuse);
 }
 
-export function parseTuning(text: string, file: string, teams: readonly Team[]): Tuning {
+/**
+ * Reads files and merges them as protobuf merges messages: what is there once is taken from the
+ * last file that has it, what repeats is joined, and messages merge field by field.
+ */
+export function parseSources(
+  sources: readonly Source[],
+  packages: readonly PackageSchema[],
+): { raw: Raw & Record<string, unknown>; refuse: Refuse } {
   // Loaded only when there is such a file: it takes time and memory that most runs can save.
   const load = createRequire(import.meta.url);
   const protobuf = load("protobufjs") as typeof Protobuf;
   const format = load("protobufjs/ext/textformat") as typeof TextFormat;
   format.install();
-  const type = protobuf.parse(SCHEMA, { keepCase: true }).root.lookupType("birchdale.Tuning");
-  let raw: Raw;
-  try {
-    raw = type.toObject(type.fromText(text)) as Raw;
-  } catch (error) {
-    const message = (error as Error).message;
-    const line = / \(line (\d+)\)$/.exec(message);
-    // The parser gives no line for some values: the shortest beginning that fails has it.
-    const at = line === null ? lineOfError(type, text, message) : Number(line[1]);
-    throw new SettingsError(`${file}:${at}: ${message.replace(/ \(line \d+\)$/, "")}`);
+  const fields = packages.map(
+    ({ field, number, message }) => `  optional ${message} ${field} = ${number};\n`,
+  );
+  const schema = [
+    SCHEMA.replace("%PACKAGES%", fields.join("")),
+    ...packages.map((one) => one.schema),
+  ];
+  const type = protobuf
+    .parse(schema.join("\n"), { keepCase: true })
+    .root.lookupType("birchdale.Tuning");
+  const raw: Record<string, unknown> = {};
+  for (const { text, file } of sources) {
+    try {
+      merge(raw, type.toObject(type.fromText(text), { longs: Number }));
+    } catch (error) {
+      const message = (error as Error).message;
+      const line = / \(line (\d+)\)$/.exec(message);
+      // The parser gives no line for some values: the shortest beginning that fails has it.
+      const at = line === null ? lineOfError(type, text, message) : Number(line[1]);
+      throw new SettingsError(`${file}:${at}: ${message.replace(/ \(line \d+\)$/, "")}`);
+    }
+  }
+  return {
+    raw,
+    refuse: (reason, near) => {
+      // What a later file says is what counts, so the mistake is looked for there first.
+      const last = sources.at(-1)!;
+      const { file, text } = [...sources].reverse().find((one) => one.text.includes(near)) ?? last;
+      throw new SettingsError(`${file}:${lineOf(text, near)}: ${reason}`);
+    },
+  };
+}
+
+const isObject = (value: unknown): value is Record<string, unknown> =>
+  typeof value === "object" && value !== null && !Array.isArray(value);
+
+function merge(into: Record<string, unknown>, from: Record<string, unknown>): void {
+  for (const [name, value] of Object.entries(from)) {
+    const known = into[name];
+    if (Array.isArray(known) && Array.isArray(value)) known.push(...value);
+    else if (isObject(known) && isObject(value)) merge(known, value);
+    else into[name] = value;
   }
-  return build(raw, teams, (reason, near) => {
-    throw new SettingsError(`${file}:${lineOf(text, near)}: ${reason}`);
-  });
 }
 
 function lineOfError(type: Protobuf.Type, text: string, message: string): number {
@@ -133,10 +185,12 @@
 
 const literal = (text: string): string => text.replace(/[.*+?^${}()|[\]\\]/g, "\\$&");
 
-function build(
+/** Checks the core's own settings; `extra` teams of packages take their place in the tree. */
+export function build(
   raw: Raw,
   teams: readonly Team[],
-  refuse: (reason: string, near: string) => never,
+  refuse: Refuse,
+  extra: readonly ExtraTeam[] = [],
 ): Tuning {
   const ratio = (value: number | undefined, fallback: number, least: number, name: string) => {
     if (value === undefined) return fallback;
@@ -201,6 +255,12 @@
       group.nominal = add(group.nominal, { cpus, gpus });
     }
   }
+  for (const { name, group } of extra) {
+    if (known.has(name)) refuse(`the platform has a team ${name} already`, name);
+    if (groups.has(name)) refuse(`${name} is the name of a group`, name);
+    if (group !== null && !groups.has(group)) refuse(`${name}: unknown group ${group}`, name);
+    leaves.push({ name, parent: group ?? ROOT, weight: 1, nominal: zero() });
+  }
   return {
     groups: [...groups.values(), ...leaves],
     preemption: {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -90,6 +90,7 @@
         parts: 1,
         partsOf: () => [0],
         limits: new Map([["red", { cpus: 8, gpus: 0 }]]),
+        rules: null,
         targets: new Map(),
         gone: this.gone,
         metrics: new Metrics(this.clock, 1e9),
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -1,4 +1,4 @@
-import { Controller, type Links } from "../../src/controller.js";
+import { Controller, type Links } from "../../src/controller/index.js";
 import type { Answer } from "../../src/http/client.js";
 import type { Reply } from "../../src/http/server.js";
 import { parseSettings, type Settings } from "../../src/settings/settings.js";
