The market: clearing, draw, reserve, calendar, accounts, and what the leader does

Guests bid for idle machines; their tasks run under allowances that their grants carry, and the platform's own teams never wait for them.

--- /dev/null
+++ b/src/market/book.ts
@@ -0,0 +1,145 @@
+import type { Allowance, Core, PlacingRules } from "../extension/index.js";
+import type { Amounts } from "../fair/share.js";
+import { sizeOf } from "./clearing.js";
+import { compareRatios } from "./money.js";
+import { type Bid, type Grant, isBid, isGrant, isRound, keys, type Round } from "./records.js";
+import type { MarketSettings } from "./settings.js";
+import { worthOf } from "./zones.js";
+
+export interface Versioned<T> {
+  value: T;
+  version: number;
+}
+
+const none = (): Amounts => ({ cpus: 0, gpus: 0 });
+
+/**
+ * All that is known of bids, grants and the round: a view of the watched keys, and from it what
+ * each guest may use in each part. Nothing in it is written by anyone but the watch, so every
+ * controller has the same once it has seen the same changes.
+ */
+export class Book implements PlacingRules {
+  readonly bids = new Map<string, Versioned<Bid>>();
+  readonly grants = new Map<string, Versioned<Grant>>();
+  round: Versioned<Round> | null = null;
+  readonly #byPlace = new Map<string, Set<string>>();
+  readonly #guests: ReadonlySet<string>;
+
+  constructor(
+    readonly core: Core,
+    readonly settings: MarketSettings,
+  ) {
+    this.#guests = new Set(settings.guests.map(({ name }) => name));
+    const { mirror } = core;
+    mirror.on(keys.bids, ({ key, value, version }) => {
+      const name = key.slice(keys.bids.length);
+      if (isBid(value)) this.bids.set(name, { value, version });
+      else this.bids.delete(name);
+    });
+    mirror.on(keys.grants, ({ key, value, version }) => {
+      const id = key.slice(keys.grants.length);
+      const known = this.grants.get(id);
+      if (known !== undefined) this.#byPlace.get(placeOf(known.value))?.delete(id);
+      if (!isGrant(value)) {
+        this.grants.delete(id);
+        return;
+      }
+      this.grants.set(id, { value, version });
+      const place = placeOf(value);
+      const there = this.#byPlace.get(place);
+      if (there === undefined) this.#byPlace.set(place, new Set([id]));
+      else there.add(id);
+    });
+    mirror.on(keys.round, ({ value, version }) => {
+      this.round = isRound(value) ? { value, version } : null;
+    });
+  }
+
+  /** Open bids and all bids that are kept, of one guest. */
+  bidsOf(guest: string): { open: number; kept: number } {
+    let open = 0;
+    let kept = 0;
+    const now = this.core.clock.wall();
+    for (const { value } of this.bids.values()) {
+      if (value.guest !== guest) continue;
+      kept++;
+      if (value.withdrawn === undefined && value.until > now) open++;
+    }
+    return { open, kept };
+  }
+
+  /** The grants of a bid that are still in the book. */
+  grantsOf(bid: string): Grant[] {
+    return [...this.grants.values()].map(({ value }) => value).filter((one) => one.bid === bid);
+  }
+
+  // ---- what the owners of parts ask ---------------------------------------------------------
+
+  teams(): Iterable<string> {
+    return this.#guests;
+  }
+
+  yields(team: string): boolean {
+    return this.#guests.has(team);
+  }
+
+  /**
+   * Grants count by the times they carry, not by messages: an owner that hears nothing more, in a
+   * zone that is cut off or with the state service down, ends them all the same. The room of a
+   * grant may be used until `saveMs` before its end; then its tasks save, and at its end they go.
+   */
+  allowance(team: string, part: number): Allowance | null {
+    if (!this.#guests.has(team)) return null;
+    const keep = none();
+    const hold = none();
+    const now = this.core.clock.wall();
+    for (const id of this.#byPlace.get(`${team}/${part}`) ?? []) {
+      const { slot, slots, until } = this.grants.get(id)!.value;
+      if (now >= until) continue;
+      hold.cpus += slot.cpus * slots;
+      hold.gpus += slot.gpus * slots;
+      if (now >= until - this.settings.saveMs) continue;
+      keep.cpus += slot.cpus * slots;
+      keep.gpus += slot.gpus * slots;
+    }
+    return { start: keep, keep, hold };
+  }
+
+  /**
+   * Idle machines are worth keeping for bids that pay the operator's least price or more, and for
+   * what is sold and not used yet; nothing is rented for either.
+   */
+  kept(): number {
+    const now = this.core.clock.wall();
+    const worth = worthOf(this.core);
+    const byGuest = new Map<string, number>();
+    const want = (guest: string, cpus: number): void => {
+      byGuest.set(guest, (byGuest.get(guest) ?? 0) + cpus);
+    };
+    for (const { value } of this.bids.values()) {
+      const { guest, slot, count, most, from, until, withdrawn } = value;
+      const size = sizeOf(slot, worth);
+      // A bid for later keeps nothing now.
+      if (withdrawn !== undefined || until <= now || from > now + this.settings.everyMs) continue;
+      if (compareRatios(most, size, this.settings.leastMicro, 1000) < 0) continue;
+      want(guest, (size / 1000) * count);
+    }
+    let cpus = 0;
+    for (const { name, most } of this.settings.guests) {
+      cpus += Math.min(most.cpus, byGuest.get(name) ?? 0);
+    }
+    return cpus;
+  }
+
+  /** What the cheapest of a guest's grants in a part pays for a core. */
+  worth(team: string, part: number): number {
+    let least = Number.POSITIVE_INFINITY;
+    for (const id of this.#byPlace.get(`${team}/${part}`) ?? []) {
+      const { micro, slot } = this.grants.get(id)!.value;
+      least = Math.min(least, micro / Math.max(slot.cpus, 1e-3));
+    }
+    return least === Number.POSITIVE_INFINITY ? 0 : least;
+  }
+}
+
+const placeOf = ({ guest, part }: Grant): string => `${guest}/${part}`;
--- /dev/null
+++ b/src/market/index.ts
@@ -0,0 +1,81 @@
+/**
+ * A market for spare capacity: guests bid for idle machines, the platform's own teams never wait
+ * for them. Switched on by the message `market` in the operators' settings
+ * (`deploy/market.textproto`); `docs/market.md` says how it works and why its rules hold.
+ */
+import type { Attachment, Core, Extension } from "../extension/index.js";
+import type { PackageDoor } from "../settings/operators.js";
+import { keys as coreKeys } from "../state/keys.js";
+import { MarketApi } from "./api.js";
+import { Book } from "./book.js";
+import { MarketLeader } from "./leader.js";
+import { type MarketSettings, readSettings, schema } from "./settings.js";
+
+export { type Hours, type Window, windowsIn } from "./calendar.js";
+export {
+  type Asking,
+  type ClearingInput,
+  type ClearingResult,
+  clear,
+  type Sold,
+  type SpareRoom,
+} from "./clearing.js";
+export { type AccountView, type BidView, MarketClient, type RoundsView } from "./client.js";
+export { draw, type Ticket } from "./draw.js";
+export { Demand } from "./forecast.js";
+export type { Bid, Charge, Grant, Slot } from "./records.js";
+export type { MarketSettings } from "./settings.js";
+
+const NAME = "market";
+
+class Market implements Extension {
+  readonly name = NAME;
+
+  constructor(readonly settings: MarketSettings) {}
+
+  get teams(): Extension["teams"] {
+    return this.settings.guests.map(({ name, group, most }) => ({ name, group, most }));
+  }
+
+  attach(core: Core): Attachment {
+    const book = new Book(core, this.settings);
+    const api = new MarketApi(core, this.settings, book);
+    return {
+      find: api.find,
+      rules: book,
+      lead: (leading) => new MarketLeader(core, this.settings, book, leading),
+      refuses: (team) => (book.yields(team) ? strangers(core) : null),
+      status: () => ({
+        market: {
+          bids: book.bids.size,
+          grants: book.grants.size,
+          round: book.round?.value.instant ?? null,
+        },
+      }),
+    };
+  }
+}
+
+/**
+ * A controller without the market does not know the guests' teams: it would neither start their
+ * tasks nor end them. As long as one serves, guests' jobs are not taken.
+ */
+function strangers(core: Core): string | null {
+  for (const { name } of core.layout.members) {
+    const row = core.mirror.rows.get(coreKeys.node(name));
+    if (row === undefined) continue;
+    const { speaks } = row.value as { speaks?: unknown };
+    if (!Array.isArray(speaks) || !speaks.includes(NAME)) return `${name} has no market`;
+  }
+  return null;
+}
+
+export const door: PackageDoor = {
+  schema,
+  open: (raw, settings, refuse) => {
+    const { workers, zones } = settings.params;
+    return new Market(
+      readSettings(raw, { reportS: workers.report_s, leaseS: workers.lease_s, zones }, refuse),
+    );
+  },
+};
