Idle machines that were returned no longer count until a newer summary comes

Need: summaries are a little old. Each look of the leader found the same idle machines surplus again after some had gone back, until none was left, also of those that should be kept.

Change: what was returned while idle is taken off the room that older summaries still show.

--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -45,7 +45,8 @@
   /** Since when there has been more need than machines, booting ones included. */
   #shortSince: number;
   readonly #refused = new Map<string, number>();
-  readonly #returned = new Set<string>();
+  /** By name: CPUs that a summary may still count, of a machine that was returned while idle. */
+  readonly #returned = new Map<string, number>();
   /** When a machine was last named by a part, and since when one has been asked to go. */
   readonly #heard = new Map<string, number>();
   readonly #startedAt: number;
@@ -166,7 +167,8 @@
     const now = this.ctx.clock.now();
     const gone = new Set<string>();
     for (const { retired } of summaries) for (const id of retired) gone.add(id);
-    for (const id of this.#surplus(summaries)) gone.add(id);
+    const idle = this.#surplus(summaries);
+    for (const id of idle.keys()) gone.add(id);
     for (const machine of this.#listed.values()) {
       const type = this.#types.get(machine.type);
       if (machine.state === "failed") gone.add(machine.id);
@@ -181,7 +183,7 @@
     if (answer.status !== 200) throw new Error(`return: ${answer.status}`);
     this.ctx.log.info({ machines: names }, "machines returned");
     for (const id of names) {
-      this.#returned.add(id);
+      this.#returned.set(id, idle.get(id) ?? 0);
       this.#listed.delete(id);
       this.#rented.delete(id);
     }
@@ -195,7 +197,7 @@
    * Idle machines beyond what has been in demand lately, the dearest first. "Lately" is half
    * as long as machines take to boot: for a shorter lull, returning them would cost more.
    */
-  #surplus(summaries: Summary[]): string[] {
+  #surplus(summaries: Summary[]): Map<string, number> {
     const now = this.ctx.clock.now();
     const demand = summaries.reduce(
       (sum, { use, waiting }) =>
@@ -212,8 +214,13 @@
     this.#demandAt = now;
     this.#demand += (demand - this.#demand) * weight;
     const wanted = Math.max(demand, this.#demand);
-    const capacity = roomIn(summaries);
-    const chosen: string[] = [];
+    // Summaries are a little old. Counting what was returned since then, one look after another
+    // returned more until nothing was left.
+    let capacity = roomIn(summaries);
+    for (const { machines } of summaries) {
+      for (const id of machines) capacity -= this.#returned.get(id) ?? 0;
+    }
+    const chosen = new Map<string, number>();
     const idle: { id: string; cpus: number; price: number; headroom: number }[] = [];
     for (const summary of summaries) {
       for (const [id, seconds] of Object.entries(summary.idle)) {
@@ -225,7 +232,7 @@
         if (seconds * 1000 > 3 * bootMs && this.ctx.kept() === 0) {
           // Idle for that long while work waits: what waits may not use it, and it keeps the
           // cloud from renting us something else.
-          chosen.push(id);
+          chosen.set(id, type.cpus);
           continue;
         }
         const price = machine.spot ? type.spotPrice : type.price;
@@ -239,7 +246,7 @@
       // The average never quite reaches zero.
       if (left - wanted * headroom < cpus - 0.5) continue;
       left -= cpus;
-      chosen.push(id);
+      chosen.set(id, cpus);
     }
     return chosen;
   }
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -12,6 +12,8 @@
 /** Says which version the sender speaks; another one ends the connection. */
 const KIND_HELLO = 1;
 const KIND_SUMMARY = 2;
+/** A summary with free room machine by machine; who does not know it reads the store's. */
+const KIND_ROOMS = 3;
 
 export type Frame =
   | { kind: "hello"; version: number; node: string }
@@ -163,7 +165,7 @@
     return out.finish();
   }
   const { part, summary } = frame;
-  out.u8(KIND_SUMMARY);
+  out.u8(summary.rooms === undefined ? KIND_SUMMARY : KIND_ROOMS);
   out.u32(part);
   out.f64(summary.token);
   out.f64(summary.seq);
@@ -192,6 +194,16 @@
     out.text(id);
     out.f64(seconds);
   });
+  if (summary.rooms !== undefined) {
+    out.f64(summary.starved ?? 0);
+    out.list(summary.rooms, ({ zone, cpus, gpus, memGb, count }) => {
+      out.text(zone);
+      out.f64(cpus);
+      out.f64(gpus);
+      out.f64(memGb);
+      out.u32(count);
+    });
+  }
   return out.finish();
 }
 
@@ -207,7 +219,7 @@
     from.end();
     return frame;
   }
-  if (kind !== KIND_SUMMARY) return null;
+  if (kind !== KIND_SUMMARY && kind !== KIND_ROOMS) return null;
   const part = from.u32();
   const token = from.f64();
   const seq = from.f64();
@@ -233,11 +245,25 @@
   const machines = from.list(() => from.text());
   const retired = from.list(() => from.text());
   const idle = Object.fromEntries(from.list((): [string, number] => [from.text(), from.f64()]));
+  const more =
+    kind === KIND_SUMMARY
+      ? {}
+      : {
+          starved: from.f64(),
+          rooms: from.list(() => ({
+            zone: from.text(),
+            cpus: from.f64(),
+            gpus: from.f64(),
+            memGb: from.f64(),
+            count: from.u32(),
+          })),
+        };
   from.end();
   return {
     kind: "summary",
     part,
     summary: {
+      ...more,
       token,
       seq,
       kinds,
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -148,10 +148,18 @@
   seq: 3,
 };
 
+const withRooms: Summary = {
+  ...summary,
+  starved: 12,
+  rooms: [{ zone: "a", cpus: 2.5, gpus: 0, memGb: 8, count: 3 }],
+};
+
 test("frames: what is sent arrives, in whatever pieces", () => {
   const frames = [
     { kind: "hello" as const, version: 1, node: "kombos-1" },
     { kind: "summary" as const, part: 2, summary },
+    // Without these, leaders heard of free room only from the store, and sold by old figures.
+    { kind: "summary" as const, part: 3, summary: withRooms },
   ];
   const bytes = Buffer.concat(frames.map(encodeFrame));
   for (const step of [1, 7, bytes.length]) {
@@ -184,9 +192,11 @@
 }
 
 test("frames: cut short anywhere, a summary is refused and never read as another", () => {
-  const whole = encodeFrame({ kind: "summary", part: 0, summary }).subarray(4);
-  for (let size = 0; size < whole.length; size++) {
-    assert.throws(() => decodeFrame(whole.subarray(0, size)), FrameError);
+  const whole = encodeFrame({ kind: "summary", part: 0, summary: withRooms }).subarray(4);
+  for (const sent of [whole, encodeFrame({ kind: "summary", part: 0, summary }).subarray(4)]) {
+    for (let size = 0; size < sent.length; size++) {
+      assert.throws(() => decodeFrame(sent.subarray(0, size)), FrameError);
+    }
   }
   assert.equal(decodeFrame(Buffer.from([200, 1, 2])), null, "a kind of a newer version");
   assert.ok(whole.length < MAX_FRAME);
