--- a/src/market/api.ts
+++ b/src/market/api.ts
@@ -32,6 +32,8 @@
 export class MarketApi {
   readonly #rates = new Map<string, Budget>();
   readonly #accounts: Accounts;
+  /** By guest: bids on their way to the store. */
+  readonly #sent = new Map<string, number>();
 
   constructor(
     readonly core: Core,
@@ -117,7 +119,10 @@
       return { status: 422, body: { error: "cores: one slot is more than the guest may use" } };
     }
     const { open, kept } = book.bidsOf(guest);
-    if (open >= settings.openBids || kept >= settings.openBids * KEPT_FOR_EACH_OPEN) {
+    // The other controllers may be sending as many that nobody has seen yet.
+    const sent = this.#sent.get(guest) ?? 0;
+    const most = settings.openBids - sent * core.layout.parts;
+    if (open >= most || kept >= settings.openBids * KEPT_FOR_EACH_OPEN) {
       return retryLater(429, `guest ${guest}: ${open} bids open, ${kept} kept`, 30);
     }
     // Bids come after users' jobs and what the parts' owners write.
@@ -126,10 +131,15 @@
     }
     const value: Bid = { ...wanted, salt: randomBytes(12).toString("hex") };
     const key = keys.bid(guest, id);
-    const result = await core.store.transact([{ key, version: 0 }], [{ put: key, value }]);
-    if (result.ok) {
-      core.mirror.apply({ key, value, version: result.revision, deleted: false });
-      return { status: 201, body: this.#view(value) };
+    this.#sent.set(guest, sent + 1);
+    try {
+      const result = await core.store.transact([{ key, version: 0 }], [{ put: key, value }]);
+      if (result.ok) {
+        core.mirror.apply({ key, value, version: result.revision, deleted: false });
+        return { status: 201, body: this.#view(value) };
+      }
+    } finally {
+      this.#sent.set(guest, (this.#sent.get(guest) ?? 1) - 1);
     }
     const row = await core.store.get(key);
     return isBid(row?.value) ? this.#repeated(wanted, row.value) : retryLater(503, "try again");
--- /dev/null
+++ b/src/market/commands.ts
@@ -0,0 +1,133 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import { Command } from "commander";
+import { RequestRefused } from "../client/client.js";
+import { type AccountView, type BidView, MarketClient } from "./client.js";
+import { unitsOf } from "./money.js";
+
+interface Options {
+  node: string;
+  json?: boolean;
+}
+
+const write = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
+
+function showBid(bid: BidView, json: boolean | undefined): void {
+  if (json === true) {
+    write(JSON.stringify(bid));
+    return;
+  }
+  write(`${bid.guest}/${bid.id}  ${bid.status}  ${bid.slots} slots at ${bid.price} at most`);
+  for (const { id, zone, slots, price, until, cut } of bid.grants) {
+    const why = cut === null ? "" : `, cut short: ${cut}`;
+    write(`  ${id}  ${slots} in ${zone} at ${price}, until ${iso(until)}${why}`);
+  }
+}
+
+function showAccount(account: AccountView, json: boolean | undefined): void {
+  if (json === true) {
+    write(JSON.stringify(account));
+    return;
+  }
+  const { guest, grants, charged, settled, owed, charges } = account;
+  write(`${guest}  ${grants} grants, charged ${charged}, settled ${settled}, owed ${owed}`);
+  for (const { grant, zone, slots, from, slotMs, micro, cut } of charges) {
+    const why = cut === null ? "" : `  ${cut}`;
+    write(
+      `  ${grant}  ${iso(from / 1000)}  ${zone}  ${slots}  ${slotMs} slot-ms  ${unitsOf(micro)}${why}`,
+    );
+  }
+}
+
+const iso = (seconds: number): string => new Date(seconds * 1000).toISOString().slice(0, 19);
+
+function readBid(file: string): unknown {
+  const text = readFileSync(file === "-" ? 0 : file, "utf8");
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    throw new RequestRefused(`${file}: ${(error as Error).message}`);
+  }
+}
+
+/** `birchdale market ...`: what guests and operators do from the command line. */
+export function marketCommands(program: Command): Command {
+  const market = new Command("market")
+    .copyInheritedSettings(program)
+    .description("bid for idle machines, see accounts, report");
+  const command = (name: string, description: string): Command =>
+    market
+      .command(name)
+      .description(description)
+      .requiredOption("--node <host:port>", "a controller")
+      .option("--json", "print JSON");
+  const ask = async <T>(
+    { node }: Options,
+    run: (client: MarketClient) => Promise<T>,
+  ): Promise<T> => {
+    const client = new MarketClient(node);
+    try {
+      return await run(client);
+    } finally {
+      client.close();
+    }
+  };
+
+  command("bid", "make a bid")
+    .argument(
+      "<file>",
+      "the bid as JSON, with the fields of POST /market/bids; - for standard input",
+    )
+    .action(async (file: string, options: Options) =>
+      showBid(await ask(options, (client) => client.bid(readBid(file))), options.json),
+    );
+  command("show", "show a bid and what it has won")
+    .argument("<guest>")
+    .argument("<id>")
+    .action(async (guest: string, id: string, options: Options) =>
+      showBid(await ask(options, (client) => client.show(guest, id)), options.json),
+    );
+  command("withdraw", "withdraw a bid; what it has won goes on to its end")
+    .argument("<guest>")
+    .argument("<id>")
+    .action(async (guest: string, id: string, options: Options) =>
+      showBid(await ask(options, (client) => client.withdraw(guest, id)), options.json),
+    );
+  command("status", "show the market: rounds, guests, what they hold").action(
+    async (options: Options) => {
+      const status = await ask(options, (client) => client.overview());
+      write(JSON.stringify(status, null, options.json === true ? 0 : 2));
+    },
+  );
+  command("account", "show what a guest was charged, grant by grant")
+    .argument("<guest>")
+    .action(async (guest: string, options: Options) =>
+      showAccount(await ask(options, (client) => client.account(guest)), options.json),
+    );
+  command("settle", "note a payment of a guest; a repeated one with the same id counts once")
+    .argument("<guest>")
+    .argument("<id>")
+    .argument("<amount>")
+    .action(async (guest: string, id: string, amount: string, options: Options) =>
+      showAccount(
+        await ask(options, (client) => client.settle(guest, id, Number(amount))),
+        options.json,
+      ),
+    );
+  command("report", "write a report as one HTML file")
+    .argument("<file>")
+    .action(async (file: string, options: Options) => {
+      // Loaded for this command only: a plotting library is large.
+      const { reportHtml } = await import("./report.js");
+      const html = await ask(options, async (client) => {
+        const { rounds } = await client.rounds();
+        const { guests } = await client.overview();
+        const accounts = await Promise.all(guests.map(({ name }) => client.account(name)));
+        return reportHtml({ title: `Market at ${options.node}`, rounds, accounts });
+      });
+      writeFileSync(file, html);
+      write(`${file}: ${html.length} bytes`);
+    });
+  return market;
+}
--- a/src/market/index.ts
+++ b/src/market/index.ts
@@ -21,11 +21,15 @@
   type SpareRoom,
 } from "./clearing.js";
 export { type AccountView, type BidView, MarketClient, type RoundsView } from "./client.js";
+export { marketCommands } from "./commands.js";
 export { draw, type Ticket } from "./draw.js";
 export { Demand } from "./forecast.js";
 export type { Bid, Charge, Grant, Slot } from "./records.js";
 export type { MarketSettings } from "./settings.js";
 
+/** Reports need a plotting library, which nothing else does. */
+export const loadReport = (): Promise<typeof import("./report.js")> => import("./report.js");
+
 const NAME = "market";
 
 class Market implements Extension {
--- a/src/market/leader.ts
+++ b/src/market/leader.ts
@@ -142,7 +142,10 @@
     wall: number,
   ): Promise<void> {
     const { saveMs } = this.settings;
+    // What a silent part has free is not known; its owner stops guests for its own by itself.
+    const silent = new Set(cluster.mute.map((part) => this.core.layout.home(part).zone));
     for (const [zone, plan] of plans) {
+      if (silent.has(zone)) continue;
       const here = [...this.book.grants.values()].filter(({ value }) => value.zone === zone);
       const running = here.filter(({ value }) => value.until > wall);
       const urgent = new Set(
--- a/src/market/records.ts
+++ b/src/market/records.ts
@@ -149,6 +149,7 @@
 
 export const BID_ID = /^[A-Za-z0-9][A-Za-z0-9_.-]{0,59}$/;
 /** Bids and withdrawn bids are kept until they end, so that must be within sight. */
+const MOST_AN_HOUR = 1e7;
 export const MOST_AHEAD_MS = 31 * 86_400_000;
 
 const amount = z.number().finite().nonnegative().max(1e6);
@@ -183,6 +184,8 @@
   if (bid.cores + bid.accelerators <= 0) return no("cores: a slot has cores or accelerators");
   const most = microOf(bid.price);
   if (most === null || most === 0) return no("price: at most six decimals, and above 0");
+  // A week of it has to be an exact integer of micro-units.
+  if (bid.price * bid.slots > MOST_AN_HOUR) return no("price: times slots, above 10,000,000");
   const from = Math.round((bid.earliest ?? 0) * 1000);
   const until = Math.round(bid.latest * 1000);
   const least = Math.round(bid.leastS * 1000);
--- a/src/market/reserve.ts
+++ b/src/market/reserve.ts
@@ -64,7 +64,7 @@
     gap,
     sellable: Math.max(0, left - gap),
     back,
-    now: Math.max(0, waiting - (free - unused)),
+    now: Math.max(0, waiting - Math.max(0, free - unused)),
   };
 }
 
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -184,6 +184,11 @@
 
   #adopt(job: Job, index: number, kept: Kept | null): void {
     const chunk = this.#ledger.adopt(job, index, kept?.state ?? null);
+    const { limits, rules } = this.ctx;
+    if (!limits.has(job.spec.team) && rules?.yields(job.spec.team) !== true) {
+      // A guest of a package that has been switched off: nobody would ever end its tasks.
+      for (const live of chunk.live.values()) this.#workers.stop(live, job.spec.saveS, "no team");
+    }
     if (kept === null) return;
     chunk.page = kept.page;
     chunk.handover = kept.handover;
@@ -238,18 +243,23 @@
   #tick(): void {
     this.#lastTick = this.ctx.clock.now();
     this.#soon(this.ctx.reportMs / 4);
-    if (!this.ctx.valid()) return;
+    const { rules } = this.ctx;
+    // Allowances end by the clock, also while the store or the other controllers are out of reach:
+    // an owner that is no longer sure of its claim may still stop what has no right to run.
+    if (rules !== null) withdrawAllowances(rules, this.ctx, this.#ledger, this.#workers);
+    if (!this.ctx.valid()) {
+      this.#workers.sendOrders();
+      return;
+    }
     this.#quota.begin();
     const pass = beginPass(this.ctx, this.#ledger);
     const blocked = this.#placing.run(pass);
-    if (this.ctx.rules !== null) this.#starved = starvedOf(blocked, this.#quota, this.ctx.rules);
+    if (rules !== null) this.#starved = starvedOf(blocked, this.#quota, rules);
     if (blocked.length > 0) {
       // Where there is room elsewhere, nothing has to be stopped here.
       if (this.#balancing.run(blocked, pass, this.#ledger.waitingCpus)) this.#ledger.changes++;
       this.#preempting.run(blocked, pass);
     }
-    if (this.ctx.rules !== null)
-      withdrawAllowances(this.ctx.rules, this.ctx, this.#ledger, this.#workers);
     this.#workers.sendOrders();
     this.#summarize();
     if (!this.#commits.flush()) this.#soon(this.ctx.reportMs / 10);
--- a/src/settings/operators.ts
+++ b/src/settings/operators.ts
@@ -21,7 +21,9 @@
  * The optional packages by the name of their message. Nothing of them is loaded, and nothing is in
  * the bundle that a controller starts with, unless a file holds the message.
  */
-const PACKAGES: Record<string, () => Promise<{ door: PackageDoor }>> = {};
+const PACKAGES: Record<string, () => Promise<{ door: PackageDoor }>> = {
+  market: () => import("../market/index.js"),
+};
 
 /** All that the operators' own files say. */
 export interface Operators {
--- /dev/null
+++ b/test/market-world.test.ts
@@ -0,0 +1,353 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Operators } from "../src/settings/operators.js";
+import { MARKET, MarketWorld, operatorsOf, TEAMS } from "./support/market.js";
+import { Random } from "./support/random.js";
+
+const operators = await operatorsOf(MARKET);
+const on = (): Operators => operators;
+const WORK = { team: "red", tasks: 20, cpus: 2, runMs: 8000 };
+
+/** A market with idle machines: own work has brought them, and has gone. */
+async function opened(
+  seed = 1,
+  given: (n: number) => Partial<Operators> = on,
+): Promise<MarketWorld> {
+  const market = new MarketWorld(given, { seed });
+  await market.world.clock.run(20_000);
+  market.world.submit("wk-first", WORK);
+  const made = await market.answer("POST", "/market/bids", market.bidOf("first"));
+  assert.equal(made.status, 201);
+  return market;
+}
+
+async function until(market: MarketWorld, what: () => boolean, ms = 240_000): Promise<void> {
+  for (let waited = 0; waited < ms && !what(); waited += 100) await market.world.clock.run(100);
+  assert.ok(what(), "it did not happen");
+}
+
+const rowOf = (market: MarketWorld, key: string): unknown =>
+  market.world.state.rows.get(key)?.value;
+const phase = (market: MarketWorld): string =>
+  (rowOf(market, "w/m/round") as { phase?: string })?.phase ?? "";
+const leader = (market: MarketWorld): number =>
+  Number((rowOf(market, "w/lead") as { node: string } | undefined)?.node.slice(1) ?? -1);
+
+/** Ends the market of a world: no bids any more, all grants over and charged. */
+async function closed(market: MarketWorld): Promise<void> {
+  const { world } = market;
+  for (const [key, { value }] of [...world.state.rows]) {
+    if (!key.startsWith("w/m/b/")) continue;
+    const { guest, id } = value as { guest: string; id: string };
+    await market.answer("POST", `/market/bids/${guest}/${id}/withdraw`);
+  }
+  await world.clock.run(130_000);
+  world.stop();
+  assert.deepEqual(market.books(), []);
+  assert.deepEqual(world.violations, []);
+}
+
+test("market: a guest's job runs on what it has won, and every grant is charged once", async () => {
+  const market = await opened();
+  const { world } = market;
+  const again = await market.answer("POST", "/market/bids", {
+    ...market.bidOf("first"),
+    latest:
+      (market.world.state.rows.get("w/m/b/visitor/first")!.value as { until: number }).until / 1000,
+  });
+  assert.equal(again.status, 200, "a repeated bid is the same bid");
+  const other = await market.answer("POST", "/market/bids", market.bidOf("first", { slots: 9 }));
+  assert.equal(other.status, 422);
+  world.submit("wk-guest", { team: "visitor", tasks: 8, cpus: 2, runMs: 5000 });
+  await until(market, () => world.jobs.get("wk-guest")!.toldDone);
+  await closed(market);
+  assert.ok(market.charges().length > 0);
+});
+
+test("market: two bids at the same price in one instant, and no room for both", async () => {
+  const market = await opened();
+  const { world } = market;
+  const both = ["visitor", "institute"].map((guest) =>
+    world.ask(0, "POST", "/market/bids", market.bidOf("same", { guest, slots: 12 }) as object),
+  );
+  void Promise.all(both);
+  await until(market, () => [...world.state.rows.keys()].some((key) => key.startsWith("m/t/")));
+  const ties = [...world.state.rows].filter(([key]) => key.startsWith("m/t/"));
+  const { tickets } = ties[0]![1].value as {
+    tickets: { bid: string; stamp: number; salt: string }[];
+  };
+  assert.ok(tickets.length >= 2);
+  for (const { bid, salt } of tickets)
+    assert.equal((rowOf(market, `w/m/b/${bid}`) as { salt: string }).salt, salt);
+  await closed(market);
+});
+
+test("market: the leader dies between clearing and telling, and its transactions apply late", async () => {
+  for (const seed of [1, 2, 3]) {
+    const market = await opened(seed);
+    const { world } = market;
+    for (let n = 0; n < 3; n++) {
+      void market.bid(`more-${n}`, { price: 1 + n });
+      await until(market, () => phase(market) === "cleared" || phase(market) === "closed");
+      const old = leader(market);
+      if (old < 0) continue;
+      // What it sends now is answered to nobody, and half of it is applied some seconds later.
+      world.stores[old]!.loss = 1;
+      await world.clock.run(700);
+      world.crash(old);
+      await world.clock.run(25_000);
+      world.stores[old]!.loss = 0;
+    }
+    assert.notEqual(market.grants.size, 0);
+    await closed(market);
+  }
+});
+
+test("market: two that believe they lead", async () => {
+  const market = await opened();
+  const { world } = market;
+  for (let n = 0; n < 4; n++) {
+    await until(market, () => leader(market) >= 0);
+    const old = leader(market);
+    // It is refused by the state service alone, until somebody else leads; then it is back.
+    world.stores[old]!.refused = true;
+    await until(market, () => leader(market) !== old, 60_000);
+    world.stores[old]!.refused = false;
+    void market.bid(`more-${n}`, { guest: n % 2 === 0 ? "visitor" : "institute" });
+    await world.clock.run(25_000);
+  }
+  await closed(market);
+  assert.ok(market.charges().length > 1);
+});
+
+test("market: an owner is lost with guests' tasks on its machines", async () => {
+  const market = await opened();
+  const { world } = market;
+  world.submit("wk-guest", { team: "visitor", tasks: 30, cpus: 2, runMs: 9000 });
+  const busy = (): boolean =>
+    [...world.workers.values()].some((worker) =>
+      [...worker.tasks.values()].some(
+        (t) => t.piece.startsWith("wk-guest") && t.state === "running",
+      ),
+    );
+  await until(market, busy);
+  for (let n = 0; n < 3; n++) world.crash(n, 4000 + 1000 * n);
+  await until(market, () => world.jobs.get("wk-guest")!.toldDone, 400_000);
+  await closed(market);
+});
+
+for (const [name, cut] of [
+  ["the state service is down over a grant's end", false],
+  ["an owner is cut off from all others while grants run out", true],
+] as const) {
+  test(`market: ${name}`, async () => {
+    const market = await opened();
+    const { world } = market;
+    // Tasks that would run for ever, and do not save.
+    world.submit("wk-guest", { team: "visitor", tasks: 12, cpus: 2, runMs: 3_600_000 });
+    const running = (): number =>
+      [...world.workers.values()]
+        .flatMap((worker) => [...worker.tasks.values()])
+        .filter((t) => t.piece.startsWith("wk-guest") && t.state !== "ended").length;
+    await until(market, () => running() > 0);
+    const end = Math.max(...[...market.grants.values()].map((grant) => grant.until));
+    const left = end - world.clock.wall();
+    if (left > 5000) await world.clock.run(left - 5000);
+    if (cut) for (const store of world.stores) store.cut = true;
+    else world.state.setOutage(true);
+    await world.clock.run(Math.min(left, 5000) + 3000);
+    // Owners have ended them by the clock: nobody could tell them anything.
+    assert.equal(running(), 0);
+    if (cut) for (const store of world.stores) store.cut = false;
+    else world.state.setOutage(false);
+    await world.clock.run(20_000);
+    world.cancel("wk-guest");
+    await closed(market);
+  });
+}
+
+test("market: a withdrawn bid never wins, whatever stage its round is in", async () => {
+  for (const stage of ["closed", "cleared"]) {
+    const market = await opened();
+    const { world } = market;
+    await until(market, () => phase(market) === stage);
+    const before = new Set(market.grants.keys());
+    const told = await market.answer("POST", "/market/bids/visitor/first/withdraw");
+    assert.equal(told.status, 200);
+    const had = new Set([...before, ...market.grants.keys()]);
+    await world.clock.run(90_000);
+    for (const id of market.grants.keys()) assert.ok(had.has(id), `${id} was granted afterwards`);
+    const retried = await market.answer("GET", "/market/bids/visitor/first");
+    assert.equal((retried.body as { status: string }).status, "withdrawn");
+    await closed(market);
+  }
+});
+
+test("market: ten thousand bids in a burst are for that guest alone, and own jobs do not notice", async () => {
+  const market = await opened();
+  const { world } = market;
+  const counts = new Map<number, number>();
+  for (let n = 0; n < 10_000; n++) {
+    void world.ask(n % 3, "POST", "/market/bids", market.bidOf(`burst-${n}`)).then((answer) => {
+      const status = answer?.status ?? 0;
+      counts.set(status, (counts.get(status) ?? 0) + 1);
+    });
+  }
+  const submitted = world.clock.now();
+  world.submit("wk-own", { team: "blue", tasks: 4, runMs: 2000 });
+  await world.clock.run(1000);
+  assert.ok(world.jobs.get("wk-own")!.accepted);
+  const other = await market.answer(
+    "POST",
+    "/market/bids",
+    market.bidOf("calm", { guest: "institute" }),
+  );
+  assert.equal(other.status, 201);
+  assert.equal(submitted + 1000 <= world.clock.now(), true);
+  assert.ok((counts.get(429) ?? 0) > 9800, JSON.stringify([...counts]));
+  const kept = [...world.state.rows.keys()].filter((key) => key.startsWith("w/m/b/visitor/"));
+  assert.ok(kept.length <= 41, `${kept.length} bids of one guest`);
+  await closed(market);
+});
+
+test("market: a guest's job that fails for ever neither keeps others out nor own jobs waiting", async () => {
+  const market = await opened();
+  const { world } = market;
+  world.submit("wk-fails", { team: "visitor", tasks: 4, cpus: 2, runMs: 500, fails: true });
+  world.submit("wk-guest", { team: "visitor", tasks: 4, cpus: 2, runMs: 4000 });
+  await until(market, () => world.jobs.get("wk-guest")!.toldDone, 400_000);
+  world.submit("wk-own", { team: "red", tasks: 6, cpus: 2, runMs: 4000 });
+  await until(market, () => world.jobs.get("wk-own")!.toldDone, 60_000);
+  world.cancel("wk-fails");
+  await world.clock.run(5000);
+  await closed(market);
+});
+
+test("market: no change is left for it, and own jobs go on", async () => {
+  const market = await opened();
+  const { world } = market;
+  for (const store of world.stores) store.writes.change(1, 3);
+  void market.bid("late");
+  world.submit("wk-own", { team: "blue", tasks: 6, cpus: 2, runMs: 4000 });
+  await until(market, () => world.jobs.get("wk-own")!.toldDone, 120_000);
+  for (const store of world.stores) store.writes.change(60, 60);
+  await closed(market);
+});
+
+test("market: switched off with grants running, and on again", async () => {
+  let now: (n: number) => Partial<Operators> = on;
+  const market = await opened(1, (n) => now(n));
+  const { world } = market;
+  world.submit("wk-guest", { team: "visitor", tasks: 12, cpus: 2, runMs: 3_600_000 });
+  const running = (): number =>
+    [...world.workers.values()]
+      .flatMap((worker) => [...worker.tasks.values()])
+      .filter((t) => t.piece.startsWith("wk-guest") && t.state !== "ended").length;
+  await until(market, () => running() > 0);
+  now = () => ({});
+  for (let n = 0; n < 3; n++) world.crash(n, 3000);
+  await world.clock.run(20_000);
+  assert.equal(running(), 0, "nobody else would ever end them");
+  world.submit("wk-own", { team: "red", tasks: 6, cpus: 2, runMs: 4000 });
+  await until(market, () => world.jobs.get("wk-own")!.toldDone, 60_000);
+  now = on;
+  for (let n = 0; n < 3; n++) world.crash(n, 3000);
+  await world.clock.run(20_000);
+  world.cancel("wk-guest");
+  await closed(market);
+});
+
+test("market: with a controller that has none, guests' jobs are not taken and nothing is sold", async () => {
+  let now: (n: number) => Partial<Operators> = (n) => (n === 1 ? {} : operators);
+  const market = new MarketWorld((n) => now(n), {});
+  const { world } = market;
+  await world.clock.run(20_000);
+  world.submit("wk-first", WORK);
+  await market.answer("POST", "/market/bids", market.bidOf("first"));
+  world.submit("wk-guest", { team: "visitor", tasks: 2, cpus: 2, runMs: 4000 });
+  await world.clock.run(80_000);
+  assert.equal(market.grants.size, 0);
+  assert.ok(!world.state.rows.has("w/j/wk-guest"));
+  now = on;
+  world.crash(1, 3000);
+  await until(market, () => world.jobs.get("wk-guest")!.toldDone, 300_000);
+  await closed(market);
+});
+
+test("market: a year of rounds leaves no more keys than a day", async () => {
+  const market = await opened();
+  const { world } = market;
+  const counts: number[] = [];
+  for (let day = 0; day < 4; day++) {
+    for (let n = 0; n < 6; n++) {
+      void market.bid(`d${day}-${n}`, { latest: Math.floor(market.now) + 50, price: 1 + n });
+      await world.clock.run(10_000);
+    }
+    await world.clock.run(120_000);
+    counts.push([...world.state.rows.keys()].filter((key) => key.startsWith("w/m/b/")).length);
+  }
+  // Only the bid that is still open, and those of the last minute.
+  assert.ok(
+    counts.every((count) => count <= 2),
+    counts.join(),
+  );
+  await closed(market);
+});
+
+test("market: days of faults, with bids and guests' jobs: no rule breaks, books add up", async () => {
+  for (const seed of [11, 12, 13]) {
+    const market = await opened(seed);
+    const { world } = market;
+    const dice = new Random(seed);
+    let names = 0;
+    for (let step = 0; step < 40; step++) {
+      const guest = dice.pick(["visitor", "institute"]);
+      if (dice.chance(0.3))
+        void market.bid(`b${names++}`, { guest, slots: dice.int(1, 6), price: dice.int(1, 4) });
+      const team = dice.chance(0.4) ? guest : dice.pick(TEAMS).name;
+      if (dice.chance(0.4)) {
+        world.submit(`wk-${names++}`, {
+          team,
+          tasks: dice.int(1, 8),
+          cpus: 2,
+          runMs: dice.int(2000, 20_000),
+        });
+      }
+      const n = dice.int(0, 2);
+      const store = world.stores[n]!;
+      const ms = dice.int(2000, 20_000);
+      switch (dice.int(0, 11)) {
+        case 0:
+          world.crash(n);
+          break;
+        case 1:
+          store.loss = 0.4;
+          world.clock.after(ms, () => {
+            store.loss = 0;
+          });
+          break;
+        case 2:
+          store.cut = true;
+          world.clock.after(ms, () => {
+            store.cut = false;
+          });
+          break;
+        case 3:
+          world.state.setOutage(true);
+          world.clock.after(Math.min(ms, 12_000), () => world.state.setOutage(false));
+          break;
+        case 4:
+          if (world.workers.size > 0) world.remove(dice.pick([...world.workers.keys()]));
+          break;
+        default:
+      }
+      await world.clock.run(3000);
+    }
+    await world.clock.run(60_000);
+    for (const job of world.jobs.values())
+      if (job.team !== "red" && job.team !== "blue" && !job.toldDone) world.cancel(job.id);
+    await world.clock.run(30_000);
+    assert.notEqual(market.grants.size, 0);
+    await closed(market);
+  }
+});
--- /dev/null
+++ b/test/market.test.ts
@@ -0,0 +1,669 @@
+import assert from "node:assert/strict";
+import { createHash } from "node:crypto";
+import { test } from "node:test";
+import fc from "fast-check";
+import { charged, chargeOf } from "../src/market/accounts.js";
+import { type Hours, windowsIn } from "../src/market/calendar.js";
+import { type Asking, type ClearingInput, clear, sizeOf } from "../src/market/clearing.js";
+import { draw } from "../src/market/draw.js";
+import { Demand } from "../src/market/forecast.js";
+import { compareRatios, costOf, microOf, unitsOf } from "../src/market/money.js";
+import { emptyAccount, type Grant, parseBid } from "../src/market/records.js";
+import { grantsToCut, planZone, withoutUnused } from "../src/market/reserve.js";
+import { leaving } from "../src/part/yielding.js";
+import { SettingsError } from "../src/settings/settings.js";
+import { operatorsOf } from "./support/market.js";
+
+// ---- clearing ------------------------------------------------------------------------------
+
+const WORTH = { gpus: 8, memGb: 0.25 };
+const asking = (bid: string, more: Partial<Asking> = {}): Asking => ({
+  bid,
+  guest: "g",
+  slot: { cpus: 2, gpus: 0, memGb: 4 },
+  want: 1,
+  zone: null,
+  most: 1_000_000,
+  stamp: 1,
+  salt: bid,
+  ...more,
+});
+const input = (more: Partial<ClearingInput> = {}): ClearingInput => ({
+  instant: 60_000,
+  lengthMs: 600_000,
+  bids: [],
+  rooms: [
+    { zone: "a", part: 0, cpus: 8, gpus: 0, memGb: 32, count: 2 },
+    { zone: "b", part: 1, cpus: 8, gpus: 0, memGb: 32, count: 2 },
+  ],
+  sellable: new Map([
+    ["a", 16],
+    ["b", 16],
+  ]),
+  guests: new Map([["g", { cpus: 1000, gpus: 10, credit: 1e12 }]]),
+  worth: WORTH,
+  leastMicro: 0,
+  mostWinners: 1000,
+  ...more,
+});
+const slotsOf = (result: ReturnType<typeof clear>, bid: string): number =>
+  result.sold.filter((one) => one.bid === bid).reduce((sum, { slots }) => sum + slots, 0);
+
+const clearings: { name: string; given: Partial<ClearingInput>; want: object }[] = [
+  {
+    name: "all fit: the operator's least price, and both zones get half",
+    given: { bids: [asking("x", { want: 6 })], leastMicro: 100_000 },
+    want: { slots: { x: 6 }, price: 200_000, zones: { a: 3, b: 3 } },
+  },
+  {
+    name: "the price is that of the highest bid that found no room",
+    given: {
+      bids: [
+        asking("x", { want: 12, most: 900_000 }),
+        asking("y", { want: 4, most: 800_000 }),
+        asking("z", { want: 4, most: 500_000 }),
+      ],
+    },
+    want: { slots: { x: 12, y: 4, z: 0 }, price: 500_000, zones: { a: 8, b: 8 } },
+  },
+  {
+    name: "below the least price nothing is sold, whatever room there is",
+    given: { bids: [asking("x", { most: 100 })], leastMicro: 100_000 },
+    want: { slots: { x: 0 }, price: null, zones: {} },
+  },
+  {
+    name: "a zone that sells nothing leaves the whole to the other",
+    given: { bids: [asking("x", { want: 6 })], sellable: new Map([["b", 16]]) },
+    want: { slots: { x: 6 }, price: 0, zones: { b: 6 } },
+  },
+  {
+    name: "a slot larger than what is free on one machine is not there",
+    given: { bids: [asking("x", { slot: { cpus: 9, gpus: 0, memGb: 0 } })] },
+    want: { slots: { x: 0 }, price: null, zones: {} },
+  },
+  {
+    name: "who may owe no more gets no more, and does not set the price",
+    given: {
+      bids: [asking("x", { want: 6, most: 6_000_000 })],
+      guests: new Map([["g", { cpus: 1000, gpus: 0, credit: 2_100_000 }]]),
+    },
+    want: { slots: { x: 2 }, price: 0, zones: { a: 1, b: 1 } },
+  },
+  {
+    name: "a large slot pays for its size",
+    given: {
+      bids: [
+        asking("x", { slot: { cpus: 4, gpus: 0, memGb: 4 }, most: 4_000_000, want: 8 }),
+        asking("y", { most: 1_900_000, want: 1 }),
+      ],
+    },
+    want: { slots: { x: 8, y: 0 }, price: 3_800_000, zones: { a: 4, b: 4 } },
+  },
+  {
+    name: "memory counts where a slot takes more of it than of cores",
+    given: {
+      bids: [asking("x", { slot: { cpus: 1, gpus: 0, memGb: 16 }, want: 9 })],
+      leastMicro: 100_000,
+    },
+    want: { slots: { x: 8 }, price: 1_000_000, zones: { a: 4, b: 4 } },
+  },
+  {
+    name: "slots for one zone only leave the other to those that may be anywhere",
+    given: {
+      bids: [asking("x", { want: 4, most: 900_000 }), asking("y", { want: 4, zone: "a" })],
+    },
+    want: { slots: { x: 4, y: 4 }, price: 0, zones: { a: 4, b: 4 } },
+  },
+];
+for (const { name, given, want } of clearings) {
+  test(`clearing: ${name}`, () => {
+    const full = input(given);
+    const result = clear(full);
+    const zones: Record<string, number> = {};
+    for (const { zone, slots } of result.sold) zones[zone] = (zones[zone] ?? 0) + slots;
+    const slots = Object.fromEntries(full.bids.map(({ bid }) => [bid, slotsOf(result, bid)]));
+    assert.deepEqual({ slots, price: result.sold[0]?.micro ?? null, zones }, want);
+  });
+}
+
+const arbitrary = fc.record({
+  bids: fc
+    .array(
+      fc.record({
+        guest: fc.constantFrom("g", "h"),
+        cpus: fc.constantFrom(1, 2, 4),
+        memGb: fc.constantFrom(1, 16),
+        want: fc.integer({ min: 1, max: 12 }),
+        zone: fc.constantFrom(null, null, "a", "b"),
+        most: fc.integer({ min: 1, max: 6 }).map((n) => n * 250_000),
+        stamp: fc.integer({ min: 1, max: 1000 }),
+      }),
+      { maxLength: 14 },
+    )
+    .map((list) =>
+      list.map(({ cpus, memGb, ...rest }, n) =>
+        asking(`${rest.guest}/${n}`, { ...rest, salt: `s${n}`, slot: { cpus, gpus: 0, memGb } }),
+      ),
+    ),
+  rooms: fc.array(
+    fc.record({
+      zone: fc.constantFrom("a", "b"),
+      part: fc.integer({ min: 0, max: 2 }),
+      cpus: fc.integer({ min: 0, max: 8 }),
+      gpus: fc.constant(0),
+      memGb: fc.constantFrom(8, 32),
+      count: fc.integer({ min: 1, max: 4 }),
+    }),
+    { maxLength: 8 },
+  ),
+  a: fc.integer({ min: 0, max: 40 }),
+  b: fc.integer({ min: 0, max: 40 }),
+  leastMicro: fc.constantFrom(0, 200_000),
+});
+type Given = typeof arbitrary extends fc.Arbitrary<infer T> ? T : never;
+const inputOf = ({ bids, rooms, a, b, leastMicro }: Given): ClearingInput =>
+  input({
+    bids,
+    rooms: rooms.map((room) => ({ ...room, part: room.zone === "a" ? 0 : 1 + (room.part % 2) })),
+    sellable: new Map([
+      ["a", a],
+      ["b", b],
+    ]),
+    guests: new Map([
+      ["g", { cpus: 16, gpus: 0, credit: 1e12 }],
+      ["h", { cpus: 1000, gpus: 0, credit: 1_500_000 }],
+    ]),
+    leastMicro,
+  });
+
+test("clearing: the order in which bids are given does not matter", () => {
+  fc.assert(
+    fc.property(arbitrary, fc.integer({ min: 1, max: 13 }), (given, turn) => {
+      const one = inputOf(given);
+      const other = {
+        ...one,
+        bids: [...one.bids.slice(turn), ...one.bids.slice(0, turn)].reverse(),
+      };
+      assert.deepEqual(clear(other), { ...clear(one), tied: clear(other).tied });
+      assert.deepEqual(new Set(clear(other).tied), new Set(clear(one).tied));
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
+
+test("clearing: never more than there is, nor than a guest may use or owe", () => {
+  fc.assert(
+    fc.property(arbitrary, (given) => {
+      const full = inputOf(given);
+      const { sold } = clear(full);
+      for (const [zone, most] of full.sellable) {
+        const cores = sold
+          .filter((one) => one.zone === zone)
+          .reduce((sum, { slot, slots }) => sum + (slots * sizeOf(slot, WORTH)) / 1000, 0);
+        assert.ok(cores <= most + 1e-6);
+      }
+      for (const part of [0, 1, 2]) {
+        const here = sold.filter((one) => one.part === part);
+        const rooms = full.rooms.filter((room) => room.part === part);
+        for (const what of ["cpus", "memGb"] as const) {
+          const used = here.reduce((sum, { slot, slots }) => sum + slots * slot[what], 0);
+          assert.ok(used <= rooms.reduce((sum, room) => sum + room[what] * room.count, 0));
+        }
+      }
+      for (const [guest, { cpus, credit }] of full.guests) {
+        const own = sold.filter((one) => one.guest === guest);
+        assert.ok(own.reduce((sum, { slot, slots }) => sum + slot.cpus * slots, 0) <= cpus);
+        const owed = own.reduce((sum, one) => sum + costOf(one.micro, one.slots, 600_000).micro, 0);
+        assert.ok(owed <= credit);
+      }
+    }),
+    { seed: 2, numRuns: 500 },
+  );
+});
+
+test("clearing: nobody pays above the bid, or wins below a losing bid for the same thing", () => {
+  fc.assert(
+    fc.property(arbitrary, (given) => {
+      const full = inputOf(given);
+      const result = clear(full);
+      const same = (a: Asking, b: Asking): boolean =>
+        JSON.stringify([a.slot, a.zone]) === JSON.stringify([b.slot, b.zone]);
+      const price = new Map<string, number>();
+      for (const { bid, micro, slot } of result.sold) {
+        const own = full.bids.find((one) => one.bid === bid)!;
+        assert.ok(micro <= own.most);
+        assert.ok(micro >= (full.leastMicro * sizeOf(slot, WORTH)) / 1000 - 1);
+        // Uniform: the same thing costs the same.
+        const shape = JSON.stringify(slot);
+        assert.equal(price.get(shape) ?? micro, micro);
+        price.set(shape, micro);
+        for (const lost of result.lost) {
+          const other = full.bids.find((one) => one.bid === lost)!;
+          if (slotsOf(result, lost) === 0 && same(own, other)) assert.ok(other.most <= own.most);
+        }
+      }
+    }),
+    { seed: 3, numRuns: 500 },
+  );
+});
+
+test("clearing: no zone holds more than half, rounded up, while another has room", () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 16 }), fc.integer({ min: 0, max: 5 }), (any, pinned) => {
+      const bids = [asking("any", { want: any })];
+      if (pinned > 0) bids.push(asking("pinned", { want: pinned, zone: "a", most: 2_000_000 }));
+      const { sold } = clear(input({ bids }));
+      const inA = sold.filter(({ zone }) => zone === "a").reduce((sum, one) => sum + one.slots, 0);
+      const all = sold.reduce((sum, one) => sum + one.slots, 0);
+      // Eight slots fit each zone; what may only be in one of them cannot be moved.
+      if (all - inA < 8) assert.ok(inA <= Math.max(Math.ceil(all / 2), pinned));
+      if (inA < 8) assert.ok(all - inA <= Math.ceil(all / 2));
+    }),
+    { seed: 4, numRuns: 300 },
+  );
+});
+
+// ---- the draw -------------------------------------------------------------------------------
+
+test("draw: of two bids at the same price in one instant each wins as often, and anyone can tell", () => {
+  let first = 0;
+  for (let n = 0; n < 2000; n++) {
+    const bids = [
+      asking("g/x", { want: 16, salt: `s${n}` }),
+      asking("g/y", { want: 16, stamp: 2 }),
+    ];
+    const result = clear(input({ bids, instant: 60_000 * n }));
+    const x = slotsOf(result, "g/x");
+    assert.equal(x + slotsOf(result, "g/y"), 16);
+    if (x === 16) first++;
+    // What is kept of the round is enough to draw again, with nothing of ours but the hash.
+    const sorted = [...result.tied].sort((a, b) => (a.bid < b.bid ? -1 : 1));
+    const sha = (text: string): string => createHash("sha256").update(text).digest("hex");
+    const seed = sha(JSON.stringify([60_000 * n, ...sorted.map((t) => [t.bid, t.stamp, t.salt])]));
+    const lots = sorted.map(({ bid }) => ({ bid, lot: sha(`${seed}/${bid}`) }));
+    const winner = lots.sort((a, b) => (a.lot < b.lot ? -1 : 1))[0]!.bid;
+    assert.equal(x === 16, winner === "g/x");
+  }
+  assert.ok(first > 900 && first < 1100, `${first} of 2000`);
+});
+
+test("draw: a stamp or a salt that nobody could know changes it", () => {
+  const winners = (change: (n: number) => Partial<Asking>): Set<string> => {
+    const found = new Set<string>();
+    for (let n = 0; n < 40; n++) {
+      found.add(draw(1, [asking("a/x", change(n)), asking("b/y")])[0]!);
+    }
+    return found;
+  };
+  assert.equal(winners((n) => ({ stamp: n })).size, 2);
+  assert.equal(winners((n) => ({ salt: `${n}` })).size, 2);
+  assert.equal(winners(() => ({})).size, 1);
+});
+
+// ---- the calendar ---------------------------------------------------------------------------
+
+const at = (text: string): number => Date.parse(text);
+const bulletin: Hours = {
+  name: "bulletin",
+  starts: "30 22 * * *",
+  ends: "30 1 * * *",
+  timeZone: "America/Santiago",
+};
+// Chile's clocks went back at midnight before 7 April 2024 and forward before 8 September 2024.
+const calendarCases = [
+  { name: "an ordinary night", day: "2024-06-03T12:00Z", from: "2024-06-04T02:30Z", h: 3 },
+  {
+    name: "a night with the hour twice",
+    day: "2024-04-06T12:00Z",
+    from: "2024-04-07T01:30Z",
+    h: 4,
+  },
+  { name: "a night without an hour", day: "2024-09-07T12:00Z", from: "2024-09-08T02:30Z", h: 2 },
+];
+for (const { name, day, from, h } of calendarCases) {
+  test(`calendar: ${name} ends when the clock on the wall says so`, () => {
+    const [window] = windowsIn([bulletin], at(day), at(day) + 86_400_000);
+    assert.equal(new Date(window!.from).toISOString(), new Date(at(from)).toISOString());
+    assert.equal((window!.until - window!.from) / 3_600_000, h);
+    // Also found by whoever looks while it lasts, and not afterwards.
+    assert.equal(windowsIn([bulletin], window!.until - 1, window!.until).length, 1);
+    assert.equal(windowsIn([bulletin], window!.until, window!.until + 1).length, 0);
+  });
+}
+test("calendar: hours that last a time do so whatever the clocks do", () => {
+  const fixed: Hours = { ...bulletin, ends: null, lastsMs: 10_800_000 };
+  for (const { day } of calendarCases) {
+    const [window] = windowsIn([fixed], at(day), at(day) + 86_400_000);
+    assert.equal(window!.until - window!.from, 10_800_000);
+  }
+});
+
+// ---- settings and bids ----------------------------------------------------------------------
+
+const GUEST = 'guest { name: "v" most { cpus: 4 } }';
+const badSettings = [
+  { name: "no guest", text: "market {\n}", says: /^market:1: market: it has no guest/ },
+  {
+    name: "an unknown field",
+    text: `market {\n ${GUEST}\n evry_s: 5 }`,
+    says: /^market:3: .*evry_s/,
+  },
+  { name: "a name twice", text: `market { ${GUEST}\n${GUEST} }`, says: /guest v is there twice/ },
+  {
+    name: "a name for no key",
+    text: 'market { guest { name: "a/b" } }',
+    says: /^market:1: guest "a\/b"/,
+  },
+  {
+    name: "no allowance",
+    text: 'market {\nguest { name: "v" } }',
+    says: /^market:2: guest v: most/,
+  },
+  {
+    name: "the name of a team",
+    text: 'market { guest { name: "red" most { cpus: 1 } } }',
+    says: /team red already/,
+  },
+  {
+    name: "an unknown group",
+    text: 'market { guest { name: "v" group: "g" most { cpus: 1 } } }',
+    says: /unknown group g/,
+  },
+  {
+    name: "a term shorter than a lease",
+    text: `market {\n${GUEST}\nterm_s: 9 }`,
+    says: /^market:3: term_s: 9/,
+  },
+  {
+    name: "a zone of time that nobody knows",
+    text: `market { ${GUEST}\nhours { name: "h" starts: "0 4 * * *" lasts_s: 60\ntime_zone: "America/Santigo" } }`,
+    says: /^market:3: hours h: no time zone is called America\/Santigo/,
+  },
+  {
+    name: "a rule that never fires",
+    text: `market { ${GUEST}\nhours { name: "h"\nstarts: "0 0 30 2 *" lasts_s: 60 } }`,
+    says: /^market:3: hours h: starts: "0 0 30 2 \*" is not a rule that fires/,
+  },
+  {
+    name: "six fields",
+    text: `market { ${GUEST}\nhours { name: "h" starts: "0 0 0 * * *" lasts_s: 60 } }`,
+    says: /^market:2: .*five fields/,
+  },
+  {
+    name: "hours without an end",
+    text: `market { ${GUEST}\nhours { name: "h" starts: "0 4 * * *" } }`,
+    says: /^market:2: hours h: give ends or lasts_s/,
+  },
+  {
+    name: "hours in a zone that the platform lacks",
+    text: `market { ${GUEST}\nhours { name: "h" starts: "0 4 * * *" lasts_s: 5 zone: "z" } }`,
+    says: /^market:2: hours h: the platform has no zone z/,
+  },
+];
+for (const { name, text, says } of badSettings) {
+  test(`market settings: ${name} is refused with file, line and reason`, async () => {
+    await assert.rejects(
+      operatorsOf(text),
+      (error) => error instanceof SettingsError && says.test(error.message),
+    );
+  });
+}
+
+test("operators' files merge as messages do, and only what is named is loaded", async () => {
+  const none = await operatorsOf('# market { }\nteam { name: "red" weight: 2 }');
+  assert.deepEqual(none.extensions, []);
+  const { extensions, tuning } = await operatorsOf(`market { ${GUEST} }\nrental { headroom: 2 }`);
+  assert.deepEqual(
+    extensions.map(({ name, teams }) => [name, teams]),
+    [["market", [{ name: "v", group: null, most: { cpus: 4, gpus: 0 } }]]],
+  );
+  assert.equal(tuning?.rental.headroom, 2);
+});
+
+const NOW = 1_700_000_000_000;
+const goodBid = {
+  id: "b-1",
+  guest: "v",
+  cores: 2,
+  slots: 3,
+  price: 0.125,
+  latest: NOW / 1000 + 600,
+};
+const badBids: { name: string; bid: unknown; says: RegExp }[] = [
+  { name: "no map", bid: [1], says: /not a map/ },
+  { name: "no id", bid: { ...goodBid, id: undefined }, says: /^id: / },
+  { name: "an id for no path", bid: { ...goodBid, id: "a/b" }, says: /^id: / },
+  { name: "no slots", bid: { ...goodBid, slots: 0 }, says: /^slots: / },
+  { name: "half a slot", bid: { ...goodBid, slots: 1.5 }, says: /^slots: / },
+  { name: "an absurd number of slots", bid: { ...goodBid, slots: 1e9 }, says: /^slots: / },
+  { name: "a price below zero", bid: { ...goodBid, price: -1 }, says: /^price: / },
+  { name: "a price of zero", bid: { ...goodBid, price: 0 }, says: /^price: / },
+  { name: "a price of seven decimals", bid: { ...goodBid, price: 1e-7 }, says: /^price: .*six/ },
+  {
+    name: "a sum that no account could hold",
+    bid: { ...goodBid, price: 1e6, slots: 1e5 },
+    says: /^price: .*slots/,
+  },
+  { name: "negative cores", bid: { ...goodBid, cores: -2 }, says: /^cores: / },
+  { name: "a slot of nothing", bid: { ...goodBid, cores: 0 }, says: /^cores: / },
+  {
+    name: "a window in the past",
+    bid: { ...goodBid, latest: NOW / 1000 - 1 },
+    says: /^latest: in/,
+  },
+  { name: "a window of a year", bid: { ...goodBid, latest: NOW / 1000 + 4e7 }, says: /^latest: / },
+  {
+    name: "an end before its start",
+    bid: { ...goodBid, earliest: NOW / 1000 + 900 },
+    says: /^latest/,
+  },
+  { name: "a length beyond the window", bid: { ...goodBid, leastS: 601 }, says: /^leastS: / },
+  { name: "a field that is not there", bid: { ...goodBid, prize: 1 }, says: /prize/ },
+];
+for (const { name, bid, says } of badBids) {
+  test(`bid: ${name} is refused with the field`, () => {
+    const parsed = parseBid(bid, NOW);
+    assert.ok(!parsed.ok && says.test(parsed.reason), JSON.stringify(parsed));
+  });
+}
+test("bid: random bodies never throw", () => {
+  fc.assert(
+    fc.property(fc.anything(), (body) => {
+      parseBid(body, NOW);
+    }),
+    { seed: 5, numRuns: 500 },
+  );
+  assert.ok(parseBid(goodBid, NOW).ok);
+});
+
+// ---- money ----------------------------------------------------------------------------------
+
+test("money: ratios compare exactly where plain numbers cannot tell them apart", () => {
+  assert.equal(compareRatios(1, 3, 2, 6), 0);
+  assert.equal(compareRatios(2 ** 52 + 1, 2 ** 52, 2 ** 52, 2 ** 52 - 1), -1);
+  const above = fc.integer({ min: 1, max: Number.MAX_SAFE_INTEGER });
+  fc.assert(
+    fc.property(fc.maxSafeNat(), above, fc.maxSafeNat(), above, (a, b, c, d) => {
+      const exact = BigInt(a) * BigInt(d) - BigInt(c) * BigInt(b);
+      assert.equal(compareRatios(a, b, c, d), exact < 0n ? -1 : exact > 0n ? 1 : 0);
+    }),
+    { seed: 6, numRuns: 300 },
+  );
+});
+
+const grant = (more: Partial<Grant> = {}): Grant => ({
+  id: "g-0",
+  bid: "v/b",
+  guest: "v",
+  slot: { cpus: 2, gpus: 0, memGb: 4 },
+  slots: 3,
+  part: 0,
+  zone: "a",
+  micro: 1_000_001,
+  from: 1000,
+  until: 3_601_000,
+  ...more,
+});
+const charges = [
+  { name: "a whole hour", more: {}, slotMs: 10_800_000, micro: 3_000_003 },
+  { name: "a millisecond", more: { until: 1001 }, slotMs: 3, micro: 0 },
+  { name: "cut at once", more: { until: 1000, cut: "needed" }, slotMs: 0, micro: 0 },
+  { name: "cut before it began", more: { until: 500, cut: "needed" }, slotMs: 0, micro: 0 },
+  {
+    name: "a thousand slots for a month",
+    more: { slots: 1000, until: 2_678_401_000, micro: 1_000_000 },
+    slotMs: 2_678_400_000_000,
+    micro: 744_000_000_000,
+  },
+];
+for (const { name, more, slotMs, micro } of charges) {
+  test(`charge: ${name}`, () => {
+    const charge = chargeOf(grant(more));
+    assert.deepEqual([charge.slotMs, charge.micro], [slotMs, micro]);
+    const account = charged(charged(emptyAccount(), charge), charge);
+    assert.deepEqual([account.owed, account.slotMs, account.grants], [2 * micro, 2 * slotMs, 2]);
+  });
+}
+test("money: text and micro-units", () => {
+  assert.deepEqual([0, 1, 1_000_000, 1_234_500, -2_000_001].map(unitsOf), [
+    "0.00",
+    "0.000001",
+    "1.00",
+    "1.2345",
+    "-2.000001",
+  ]);
+  assert.deepEqual([0.1, 1e-6, 1e-7, -1, Number.NaN].map(microOf), [100_000, 1, null, null, null]);
+});
+
+// ---- the reserve ----------------------------------------------------------------------------
+
+const view = { zone: "a", free: 20, own: 10, waiting: 0, guests: 4 };
+const night = { name: "n", from: 0, until: 1, zone: null, keepCpus: 25 };
+const plans = [
+  {
+    name: "a forecast below the use keeps nothing",
+    unused: 0,
+    forecast: 8,
+    windows: [],
+    want: [20, 0, 0],
+  },
+  {
+    name: "what the forecast adds is kept",
+    unused: 0,
+    forecast: 18,
+    windows: [],
+    want: [12, 0, 0],
+  },
+  {
+    name: "what is sold and not used is not sold again",
+    unused: 6,
+    forecast: 18,
+    windows: [],
+    want: [6, 0, 0],
+  },
+  {
+    name: "a forecast that no longer fits brings room back",
+    unused: 0,
+    forecast: 35,
+    windows: [],
+    want: [0, 5, 0],
+  },
+  {
+    name: "hours of the calendar keep what they say",
+    unused: 0,
+    forecast: 0,
+    windows: [night],
+    want: [5, 0, 0],
+  },
+  {
+    name: "hours of another zone do not count",
+    unused: 0,
+    forecast: 0,
+    windows: [{ ...night, zone: "b" }],
+    want: [20, 0, 0],
+  },
+  {
+    name: "hours that keep all",
+    unused: 0,
+    forecast: 0,
+    windows: [{ ...night, keepCpus: Infinity }],
+    want: [0, Infinity, 0],
+  },
+];
+for (const { name, unused, forecast, windows, want } of plans) {
+  test(`reserve: ${name}`, () => {
+    const { sellable, back, now } = planZone(view, unused, forecast, windows);
+    assert.deepEqual([sellable, back, now], want);
+  });
+}
+test("reserve: what waits and has no room is wanted at once", () => {
+  const { sellable, now } = planZone({ ...view, waiting: 30 }, 0, 0, []);
+  assert.deepEqual([sellable, now], [0, 10]);
+  // Room that is sold and not used yet is not there for them either, until its grant is cut.
+  assert.equal(planZone({ ...view, waiting: 30 }, 15, 0, []).now, 25);
+});
+
+test("giving back: unused room first, then the cheapest, then the youngest", () => {
+  const grants = [
+    grant({ id: "dear", micro: 9, slots: 1 }),
+    grant({ id: "cheap", micro: 5, slots: 1, from: 10 }),
+    grant({ id: "young", micro: 5, slots: 1, from: 20 }),
+    grant({ id: "idle", micro: 99, slots: 2, guest: "w" }),
+  ];
+  const use = (guest: string): number => (guest === "w" ? 0 : 6);
+  const cut = (cpus: number): string[] => grantsToCut(grants, cpus, use).map(({ id }) => id);
+  assert.deepEqual(cut(0), []);
+  assert.deepEqual(cut(3), ["idle"]);
+  assert.deepEqual(cut(5), ["young", "idle"]);
+  assert.deepEqual(cut(8), ["young", "cheap", "idle"]);
+  assert.deepEqual(cut(Number.POSITIVE_INFINITY).length, 4);
+});
+
+test("room that is sold and not used yet is taken out of what a summary says is free", () => {
+  const rooms = [{ zone: "a", part: 0, cpus: 4, gpus: 0, memGb: 16, count: 2 }];
+  const left = (used: number): number =>
+    withoutUnused(rooms, [grant()], () => used).reduce(
+      (sum, { cpus, count }) => sum + cpus * count,
+      0,
+    );
+  assert.deepEqual([left(0), left(2), left(4), left(6)], [2, 4, 6, 8]);
+});
+
+test("allowance: who must go loses the least, and who saves already goes first at the end", () => {
+  const one = (task: string, lossMs: number, stopping: number | null = null) => ({
+    live: { task } as never,
+    cpus: 2,
+    gpus: 0,
+    lossMs,
+    stopping,
+  });
+  const running = [one("a", 50), one("b", 10), one("c", 30, 5), one("d", 20, 0)];
+  const names = (cpus: number, sure: boolean): string[] =>
+    leaving(running, { cpus, gpus: 0 }, sure).map(({ live }) => live.task);
+  assert.deepEqual(names(4, false), []);
+  assert.deepEqual(names(2, false), ["b"]);
+  assert.deepEqual(names(4, true), ["c"]);
+  assert.deepEqual(names(0, true), ["c", "b", "a"]);
+});
+
+// ---- the forecast ---------------------------------------------------------------------------
+
+test("forecast: by hour once there is enough of it, else by what was seen lately; kept as text", () => {
+  const demand = new Demand("UTC", 600_000);
+  const noon = Date.UTC(2024, 5, 1, 12, 10);
+  for (let n = 0; n < 100; n++) demand.sample("a", n === 50 ? 80 : 20, noon + n * 1000);
+  const early = demand.forecast("a", noon + 100_000, noon + 200_000, 0.99, 1.5);
+  assert.equal(early, 120);
+  for (let n = 100; n < 1500; n++) demand.sample("a", 20, noon + n * 1000);
+  const at99 = demand.forecast("a", noon + 1_500_000, noon + 1_600_000, 0.99, 1.5);
+  const at9999 = demand.forecast("a", noon + 1_500_000, noon + 1_600_000, 0.9999, 1.5);
+  assert.equal(at99, 20);
+  assert.equal(at9999, 80);
+  // The next leader reads what this one has written, and knows as much.
+  const next = new Demand("UTC", 600_000);
+  for (const { zone, hour, packed } of demand.changed()) assert.ok(next.load(zone, hour, packed));
+  assert.equal(next.forecast("a", noon, noon + 1, 0.9999, 1), 80);
+  assert.equal(next.load("a", 3, "rubbish"), false);
+  // Another hour of which nothing is known counts as well when a grant would last into it.
+  assert.equal(next.forecast("a", noon, noon + 3_600_000, 0.99, 1), 20);
+});
--- /dev/null
+++ b/test/measure/market.ts
@@ -0,0 +1,167 @@
+/**
+ * What the market costs the platform's own jobs, and how fast it is: `npm run measure:market`.
+ * Prints one line a figure; docs/market.md has them with the machine they were measured on.
+ */
+
+import { type Asking, clear, type SpareRoom } from "../../src/market/clearing.js";
+import { Budget } from "../../src/state/budget.js";
+import { Refused } from "../../src/state/store.js";
+import { playDay, quantile } from "../support/days.js";
+import { MARKET, MarketWorld, operatorsOf } from "../support/market.js";
+import { Random } from "../support/random.js";
+
+const operators = await operatorsOf(MARKET);
+const line = (name: string, figures: Record<string, number | string>): void => {
+  const text = Object.entries(figures).map(([key, value]) => `${key} ${value}`);
+  process.stdout.write(`${name}: ${text.join(", ")}\n`);
+};
+
+async function starts(): Promise<void> {
+  const late: number[] = [];
+  const all: [string, number[], number[]][] = [
+    ["first task", [], []],
+    ["whole job", [], []],
+  ];
+  const behind: number[] = [];
+  let idle = 0;
+  let used = 0;
+  for (let seed = 1; seed <= 8; seed++) {
+    const day = { seed, stormAt: 190_000, lengthMs: 360_000 };
+    const off = await playDay({ ...day, operators: {}, guests: false });
+    const on = await playDay({ ...day, operators, guests: true });
+    for (const [n, field] of (["first", "whole"] as const).entries()) {
+      for (const [id, ms] of off[field]) {
+        const other = on[field].get(id);
+        if (other === undefined) continue;
+        all[n]![1].push(ms);
+        all[n]![2].push(other);
+        if (n === 0) late.push(other - ms);
+      }
+    }
+    behind.push(...on.behind.values());
+    idle += on.idle;
+    used += on.used;
+    for (const { market } of [off, on]) {
+      market.world.stop();
+      const wrong = [...market.world.violations, ...market.wrong];
+      if (wrong.length > 0) line(`seed ${seed}`, { wrong: JSON.stringify(wrong) });
+    }
+  }
+  for (const [name, without, withIt] of all) {
+    line(`own starts, ${name}, simulated ms`, {
+      jobs: without.length,
+      "p50 off": quantile(without, 0.5),
+      "p50 on": quantile(withIt, 0.5),
+      "p99 off": quantile(without, 0.99),
+      "p99 on": quantile(withIt, 0.99),
+      "max off": Math.max(...without),
+      "max on": Math.max(...withIt),
+    });
+  }
+  line("own starts, difference job by job, simulated ms", {
+    p50: quantile(late, 0.5),
+    p99: quantile(late, 0.99),
+    largest: Math.max(...late),
+  });
+  line("own tasks that waited while guests were on machines, simulated ms", {
+    tasks: behind.length,
+    p50: quantile(behind, 0.5),
+    p99: quantile(behind, 0.99),
+    largest: Math.max(...behind),
+  });
+  line("idle room used by guests, simulated", { share: (used / idle).toFixed(3) });
+}
+
+async function bids(): Promise<void> {
+  for (const changes of [30, 80]) {
+    const text = MARKET.replace("bids_a_minute: 600", "bids_a_minute: 100000").replace(
+      "open_bids: 40",
+      "open_bids: 10000",
+    );
+    const fast = await operatorsOf(text);
+    const market = new MarketWorld(() => fast, { seed: 5 });
+    const { world } = market;
+    for (const store of world.stores) {
+      // The service's limit is for all controllers: each has its part of it, as in divide().
+      store.writes.change(changes * 0.45, changes * 0.45);
+    }
+    // The state service itself allows so many a second, for all together.
+    const limit = new Budget(changes, changes, world.clock);
+    const real = world.state.transact.bind(world.state);
+    world.state.transact = (when, then) => {
+      if (then.length > 0 && !limit.take(then.length)) throw new Refused("429");
+      return real(when, then);
+    };
+    await world.clock.run(30_000);
+    let made = 0;
+    const ms = 60_000;
+    for (let n = 0; n < 3000; n++) {
+      world.clock.after((n * ms) / 3000, () => {
+        const body = market.bidOf(`fast-${n}`, { latest: market.now + 600 });
+        void world.ask(n % 3, "POST", "/market/bids", body).then((answer) => {
+          if (answer?.status === 201) made++;
+        });
+      });
+    }
+    await world.clock.run(ms);
+    line(`bids acknowledged, simulated, ${changes} changes a second`, {
+      "a second": (made / (ms / 1000)).toFixed(1),
+    });
+    world.stop();
+  }
+}
+
+function clearing(): void {
+  const dice = new Random(3);
+  for (const machines of [450, 5000]) {
+    const rooms: SpareRoom[] = Array.from({ length: machines / 10 }, (_, n) => ({
+      zone: n % 2 === 0 ? "a" : "b",
+      part: n % 5,
+      cpus: dice.int(1, 32),
+      gpus: 0,
+      memGb: dice.int(4, 128),
+      count: 10,
+    }));
+    for (const count of [100, 1000, 10_000]) {
+      const made: Asking[] = Array.from({ length: count }, (_, n) => ({
+        bid: `g/${n}`,
+        guest: "g",
+        slot: { cpus: dice.pick([1, 2, 4, 8]), gpus: 0, memGb: dice.pick([1, 4, 16]) },
+        want: dice.int(1, 20),
+        zone: dice.pick([null, null, "a", "b"]),
+        most: dice.int(1, 40) * 100_000,
+        stamp: n,
+        salt: `${n}`,
+      }));
+      const times: number[] = [];
+      let sold = 0;
+      for (let run = 0; run < 5; run++) {
+        const begin = performance.now();
+        const result = clear({
+          instant: 60_000,
+          lengthMs: 600_000,
+          bids: made,
+          rooms,
+          sellable: new Map([
+            ["a", 1e6],
+            ["b", 1e6],
+          ]),
+          guests: new Map([["g", { cpus: 1e6, gpus: 0, credit: 1e15 }]]),
+          worth: { gpus: 0, memGb: 0.25 },
+          leastMicro: 0,
+          mostWinners: count,
+        });
+        times.push(performance.now() - begin);
+        sold = result.sold.reduce((sum, { slots }) => sum + slots, 0);
+      }
+      line(`clearing, this machine, ${count} bids, ${machines} machines`, {
+        "median ms": quantile(times, 0.5).toFixed(1),
+        slots: sold,
+      });
+    }
+  }
+}
+
+clearing();
+await bids();
+await starts();
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -1,6 +1,8 @@
 import { Controller, type Links } from "../../src/controller/index.js";
 import type { Answer } from "../../src/http/client.js";
 import type { Reply } from "../../src/http/server.js";
+import { decodeFrame, encodeFrame } from "../../src/peer/frames.js";
+import type { Operators } from "../../src/settings/operators.js";
 import { parseSettings, type Settings } from "../../src/settings/settings.js";
 import { decode, encode } from "../../src/wire/cbor.js";
 import type { Command } from "../../src/wire/workers.js";
@@ -15,18 +17,24 @@
   max: number;
 }
 
-export function settingsFor(node: number, nodes: number, teams: TeamSettings[]): Settings {
+export function settingsFor(
+  node: number,
+  nodes: number,
+  teams: TeamSettings[],
+  zones: readonly string[] = ["a"],
+): Settings {
+  const site = (n: number): string => zones[n % zones.length]!;
   const addr = (n: number): string => `10.0.0.${n + 1}:8081`;
   const known = Array.from({ length: nodes }, (_, n) => n)
     .filter((n) => n !== node)
-    .map((n) => `[[known]]\nnode_name = "n${n}"\nsite = "a"\naddr = "${addr(n)}"`);
+    .map((n) => `[[known]]\nnode_name = "n${n}"\nsite = "${site(n)}"\naddr = "${addr(n)}"`);
   const listed = teams.map(
     ({ name, cpus, max }) =>
       `[[params.teams]]\nname = "${name}"\ncpus = ${cpus}\ncpus_max = ${max}\ngpus = 0\ngpus_max = 0`,
   );
   return parseSettings(
     `node_name = "n${node}"
-     site = "a"
+     site = "${site(node)}"
      listen = "10.0.0.${node + 1}:8080"
      cluster_listen = "${addr(node)}"
      ${known.join("\n")}
@@ -35,7 +43,7 @@
      state = "10.2.0.1:1"
      [params]
      size = ${nodes}
-     zones = ["a"]
+     zones = ${JSON.stringify(zones)}
      clock_error_ms = 5
      ${listed.join("\n")}
      [params.workers]
@@ -74,6 +82,8 @@
   cpus: number;
   spot: boolean;
   runMs: number;
+  /** Every task fails, always. */
+  fails: boolean;
   done: Set<string>;
   accepted: boolean;
   toldDone: boolean;
@@ -112,6 +122,7 @@
     readonly world: World,
     readonly id: string,
     readonly spot: boolean,
+    readonly zone = "a",
   ) {
     this.leaseFrom = world.clock.now();
     this.node = world.random.int(0, world.nodes - 1);
@@ -140,8 +151,8 @@
           task.until = now + (job.done.has(task.piece) ? 0 : job.runMs);
         } else {
           task.state = "ended";
-          task.cause = "done";
-          job.done.add(task.piece);
+          task.cause = job.fails ? "error" : "done";
+          if (!job.fails) job.done.add(task.piece);
         }
         this.#changed = true;
       }
@@ -154,7 +165,7 @@
       host: this.id,
       address: this.address,
       build: "m4",
-      berth: "a",
+      berth: this.zone,
       borrowed: this.spot,
       shift: this.session,
       tally: ++this.seq,
@@ -267,7 +278,10 @@
   readonly leaseMs = 12_000;
   cloudOutage = false;
   startedTasks = 0;
-  readonly #booting: { id: string; spot: boolean; at: number; rentedAt: number }[] = [];
+  /** When the last start of each task began, and in which zone. */
+  readonly starts = new Map<string, { at: number; zone: string }>();
+  readonly #booting: { id: string; spot: boolean; zone: string; at: number; rentedAt: number }[] =
+    [];
   readonly #requests = new Map<string, string[]>();
   #machines = 0;
   #runs = 0;
@@ -278,12 +292,16 @@
     readonly teams: TeamSettings[],
     readonly capacity: number,
     readonly sabotage: Sabotage = {},
+    readonly zones: readonly string[] = ["a"],
+    /** What the operators have set for a controller; it may differ, as in a change of versions. */
+    public operators: (node: number) => Partial<Operators> = () => ({}),
+    writeRps?: number,
   ) {
     this.random = new Random(seed);
-    const { params } = settingsFor(0, nodes, teams);
+    const { params } = settingsFor(0, nodes, teams, zones);
     const limits = {
       rps: params.state.rps,
-      writeRps: params.state.write_rps / 2,
+      writeRps: writeRps ?? params.state.write_rps / 2,
       ops: params.state.txn_ops,
       conditions: params.state.txn_ops * 4,
       valueBytes: params.state.value_kb * 1024,
@@ -311,7 +329,7 @@
   // ---- controllers -----------------------------------------------------------------------
 
   boot(n: number): void {
-    const settings = settingsFor(n, this.nodes, this.teams);
+    const settings = settingsFor(n, this.nodes, this.teams, this.zones);
     const run = `run-${++this.#runs}`;
     const alive = (): boolean => this.controllers[n] === controller;
     const links: Links = {
@@ -325,12 +343,15 @@
       broadcast: (frame) => {
         for (let other = 0; other < this.nodes; other++) {
           if (other === n || this.deaf.has(n) || this.deaf.has(other)) continue;
-          this.clock.after(this.random.int(1, 5), () => this.controllers[other]?.hear(frame));
+          // As it comes out of the other end of a connection.
+          const heard = decodeFrame(encodeFrame(frame).subarray(4))!;
+          this.clock.after(this.random.int(1, 5), () => this.controllers[other]?.hear(heard));
         }
       },
     };
     const controller: Controller = new Controller({
       settings,
+      ...this.operators(n),
       log: quiet,
       clock: this.clock,
       links,
@@ -436,7 +457,7 @@
         rate: 1,
         spotPrice: 0.3,
         bootS: 10,
-        berths: ["a"],
+        berths: [...this.zones],
       };
       return { status: 200, body: { builds: [type] } };
     }
@@ -446,13 +467,18 @@
     }
     if (method === "POST") return this.#rent(body as Record<string, unknown>);
     const hosts = [
-      ...[...this.workers.values()].map(({ id, spot }) => ({ id, spot, status: "running" })),
-      ...this.#booting.map(({ id, spot }) => ({ id, spot, status: "starting" })),
-    ].map(({ id, spot, status }) => ({
+      ...[...this.workers.values()].map(({ id, spot, zone }) => ({
+        id,
+        spot,
+        zone,
+        status: "running",
+      })),
+      ...this.#booting.map(({ id, spot, zone }) => ({ id, spot, zone, status: "starting" })),
+    ].map(({ id, spot, zone, status }) => ({
       uid: id,
       address: `w:${id}`,
       build: "m4",
-      berth: "a",
+      berth: zone,
       borrowed: spot,
       status,
       heldS: 1,
@@ -462,7 +488,7 @@
     return { status: 200, body: { hosts, more: false } };
   }
 
-  #rent({ charter, borrowed, howMany }: Record<string, unknown>): Answer {
+  #rent({ charter, berth, borrowed, howMany }: Record<string, unknown>): Answer {
     const known = this.#requests.get(String(charter));
     if (known !== undefined) return { status: 200, body: { hosts: known } };
     const room = this.capacity - this.workers.size - this.#booting.length;
@@ -474,12 +500,13 @@
       ids.push(id);
       const now = this.clock.now();
       const at = now + this.random.int(5000, 15_000);
-      this.#booting.push({ id, spot: borrowed === true, at, rentedAt: now });
+      const zone = String(berth);
+      this.#booting.push({ id, spot: borrowed === true, zone, at, rentedAt: now });
       this.clock.after(at - now, () => {
         const index = this.#booting.findIndex((machine) => machine.id === id);
         if (index < 0) return;
         this.#booting.splice(index, 1);
-        this.workers.set(id, new Worker(this, id, borrowed === true));
+        this.workers.set(id, new Worker(this, id, borrowed === true, zone));
       });
     }
     this.#requests.set(String(charter), ids);
@@ -529,6 +556,7 @@
       cpus,
       spot,
       runMs: job.runMs ?? 10_000,
+      fails: job.fails ?? false,
       done: new Set(),
       accepted: false,
       toldDone: false,
@@ -604,6 +632,7 @@
 
   started(on: Worker, piece: string): void {
     this.startedTasks++;
+    this.starts.set(piece, { at: this.clock.now(), zone: on.zone });
     const job = this.jobOf(piece);
     if (!job.accepted && !job.askedToCancel && !this.#known(job.id)) {
       this.#broken("invented", piece);
