Package local: a state service, cloud, workers and front on loopback

Need: a newcomer could not run birchdale at all: it needs a platform that nobody has.

Change: stand-ins that speak the protocol over HTTP, with limits, leases, watches, lists that lag, boots, spot notices, tokens, sessions and worker leases, tasks that take their time or run a command; birchdale local starts them with controllers and ends cleanly.

--- /dev/null
+++ b/src/local/index.ts
@@ -0,0 +1,12 @@
+/**
+ * A platform to run on: stand-ins for the state service, the cloud, the workers and the load
+ * balancer, real HTTP servers on loopback that speak what PROTOCOL says. For trying birchdale, for
+ * tests, and for programs that embed it; nothing of it is loaded by a controller.
+ */
+export { Cloud, type CloudType, type Host } from "./cloud.js";
+export { type LocalOptions, runLocal } from "./command.js";
+export { Front } from "./front.js";
+export { Platform, type PlatformOptions } from "./platform.js";
+export { Malformed, type StateLimits, StateService } from "./state.js";
+export { StateServer } from "./state-server.js";
+export { type TaskEvent, type Uploaded, Worker } from "./worker.js";
--- /dev/null
+++ b/src/local/platform.ts
@@ -0,0 +1,253 @@
+import { createServer } from "node:net";
+import { type Clock, sleep, systemClock } from "../clock.js";
+import { parseSettings, type Settings, type Team } from "../settings/settings.js";
+import { Cloud, type CloudType, type Host } from "./cloud.js";
+import { Front } from "./front.js";
+import { StateService } from "./state.js";
+import { StateServer } from "./state-server.js";
+import { type TaskEvent, Worker } from "./worker.js";
+
+export interface PlatformOptions {
+  controllers?: number;
+  /** Machines of each type, zone and kind. */
+  machines?: number;
+  zones?: string[];
+  teams?: Team[];
+  types?: CloudType[];
+  /** Machines of the first type that are up at the start, in each zone. */
+  initial?: number;
+  reportS?: number;
+  leaseS?: number;
+  cancelS?: number;
+  writeRps?: number;
+  valueKb?: number;
+  /** Jobs with a `command` run it on this machine; otherwise they only take their time. */
+  commands?: boolean;
+  clock?: Clock;
+  random?: () => number;
+  /** Hears of every task that starts or ends. */
+  watch?(event: TaskEvent & { at: number }): void;
+}
+
+const TEAMS: Team[] = [
+  { name: "red", cpus: 16, cpus_max: 64, gpus: 0, gpus_max: 0 },
+  { name: "blue", cpus: 16, cpus_max: 64, gpus: 0, gpus_max: 0 },
+];
+
+const typesFor = (berths: string[]): CloudType[] => [
+  {
+    name: "small",
+    cores: 8,
+    accelerators: 0,
+    memGb: 32,
+    cacheGb: 50,
+    fetchGbPerS: 10,
+    rate: 0.4,
+    spotPrice: 0.1,
+    bootS: 2,
+    berths,
+  },
+];
+
+/** A port of loopback that nobody listens on now. */
+function freePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once("error", reject);
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      server.close(() => resolve(typeof address === "object" ? address!.port : 0));
+    });
+  });
+}
+
+/**
+ * Everything that birchdale needs around it, on loopback: a state service, a cloud whose machines
+ * run workers, and a front that users reach. The controllers are started by whoever uses this, with
+ * `settings`, in this process or others.
+ */
+export class Platform {
+  readonly state: StateService;
+  readonly stateServer: StateServer;
+  readonly cloud: Cloud;
+  front!: Front;
+  readonly workers = new Map<string, Worker>();
+  readonly settings: Settings[] = [];
+  /** The same as texts, for other processes. */
+  readonly files: string[] = [];
+  readonly #nodes = new Map<string, string>();
+  #stopped = false;
+  readonly #saved = new Map<string, number | "done">();
+  readonly #options: Required<Omit<PlatformOptions, "watch">> & Pick<PlatformOptions, "watch">;
+
+  constructor(given: PlatformOptions = {}) {
+    const zones = given.zones ?? ["a", "b"];
+    const options = {
+      controllers: 3,
+      machines: 8,
+      zones,
+      teams: TEAMS,
+      types: typesFor(zones),
+      initial: 0,
+      reportS: 1,
+      leaseS: 6,
+      cancelS: 20,
+      writeRps: 80,
+      valueKb: 8,
+      commands: false,
+      clock: systemClock,
+      random: Math.random,
+      ...given,
+    };
+    this.#options = options;
+    const { clock, random } = options;
+    const ops = 24;
+    this.state = new StateService(clock, {
+      ops,
+      conditions: 4 * ops,
+      valueBytes: options.valueKb * 1024,
+    });
+    const limits = { rps: 250, writeRps: options.writeRps };
+    this.stateServer = new StateServer(this.state, clock, limits, random);
+    this.cloud = new Cloud(
+      clock,
+      options.types,
+      options.machines,
+      { rps: 5, listLagMs: 2000 },
+      {
+        up: (host, type) => void this.#boot(host, type),
+        notice: (uid, warningS) => {
+          const worker = this.workers.get(uid);
+          if (worker !== undefined) worker.warningS = warningS;
+        },
+        gone: (uid) => {
+          this.workers.get(uid)?.stop();
+          this.workers.delete(uid);
+        },
+      },
+      random,
+    );
+  }
+
+  /** Starts all that is not a controller; `port` is the front's, 0 for any. */
+  async start(port = 0): Promise<void> {
+    const { controllers, zones, clock, reportS, initial, types } = this.#options;
+    const state = await this.stateServer.start();
+    const cloud = await this.cloud.start();
+    const nodes: { name: string; zone: string; listen: string; peer: string }[] = [];
+    for (let n = 0; n < controllers; n++) {
+      nodes.push({
+        name: `node-${n}`,
+        zone: zones[n % zones.length]!,
+        listen: `127.0.0.1:${await freePort()}`,
+        peer: `127.0.0.1:${await freePort()}`,
+      });
+    }
+    for (const { name, listen } of nodes) this.#nodes.set(name, listen);
+    for (const node of nodes) {
+      const text = this.#settingsFor(node, nodes, { state, cloud });
+      this.files.push(text);
+      this.settings.push(parseSettings(text, node.name));
+    }
+    this.front = new Front(this.#nodes, clock, Math.max(100, reportS * 250));
+    await this.front.start(port);
+    for (const zone of zones)
+      for (let n = 0; n < initial; n++) this.cloud.add(types[0]!, zone, false);
+  }
+
+  /** Until at least one controller takes requests, or the time is over. */
+  async ready(withinMs = 30_000): Promise<boolean> {
+    const { clock } = this.#options;
+    const until = clock.now() + withinMs;
+    while (this.front.healthy.length === 0) {
+      if (clock.now() > until) return false;
+      await sleep(clock, 50);
+    }
+    return true;
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    for (const worker of this.workers.values()) worker.stop();
+    this.workers.clear();
+    this.front?.stop();
+    this.cloud.stop();
+    this.stateServer.stop();
+    this.state.stop();
+  }
+
+  async #boot(host: Host, type: CloudType): Promise<void> {
+    const { clock, reportS, leaseS, commands, random, watch } = this.#options;
+    const worker = new Worker({
+      clock,
+      host,
+      type,
+      nodes: this.#nodes,
+      reportMs: reportS * 1000,
+      leaseMs: leaseS * 1000,
+      commands,
+      jobOf: (uid) => this.front.jobs.get(uid),
+      saved: this.#saved,
+      tell: (event) => watch?.({ ...event, at: clock.now() }),
+      random,
+    });
+    this.workers.set(host.uid, worker);
+    this.cloud.addresses.set(host.uid, await worker.start());
+    if (this.#stopped) worker.stop();
+  }
+
+  #settingsFor(
+    own: { name: string; zone: string; listen: string; peer: string },
+    nodes: readonly { name: string; zone: string; peer: string }[],
+    { state, cloud }: { state: string; cloud: string },
+  ): string {
+    const { zones, teams, reportS, leaseS, cancelS, valueKb, writeRps } = this.#options;
+    const known = nodes
+      .filter(({ name }) => name !== own.name)
+      .map(
+        ({ name, zone, peer }) =>
+          `[[known]]\nnode_name = "${name}"\nsite = "${zone}"\naddr = "${peer}"\n`,
+      );
+    const listed = teams.map(
+      ({ name, cpus, cpus_max, gpus, gpus_max }) =>
+        `[[params.teams]]\nname = "${name}"\ncpus = ${cpus}\ncpus_max = ${cpus_max}\n` +
+        `gpus = ${gpus}\ngpus_max = ${gpus_max}\n`,
+    );
+    return `node_name = "${own.name}"
+site = "${own.zone}"
+listen = "${own.listen}"
+cluster_listen = "${own.peer}"
+
+${known.join("\n")}
+[services]
+cloud = "${cloud}"
+state = "${state}"
+
+[params]
+size = ${nodes.length}
+zones = ${JSON.stringify(zones)}
+clock_error_ms = 5
+
+${listed.join("\n")}
+[params.workers]
+report_s = ${reportS}
+lease_s = ${leaseS}
+cancel_s = ${cancelS}
+
+[params.state]
+rps = 250
+write_rps = ${writeRps}
+value_kb = ${valueKb}
+txn_ops = 24
+
+[params.cloud]
+rps = 5
+list_lag_s = 2
+
+[params.quota]
+cores = 1
+ram_mb = 178
+max_sockets = 1000
+`;
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { readFileSync } from "node:fs";
-import { Command, CommanderError } from "commander";
+import { fileURLToPath } from "node:url";
+import { Command, CommanderError, InvalidArgumentError } from "commander";
 import {
   ControllerNode,
   JobClient,
@@ -12,6 +13,7 @@
   SettingsError,
   Unanswered,
 } from "./index.js";
+import type { LocalOptions } from "./local/index.js";
 
 const VERSION = "0.1.0";
 
@@ -67,6 +69,12 @@
   }
 }
 
+function count(text: string): number {
+  const value = Number(text);
+  if (!Number.isInteger(value) || value < 0) throw new InvalidArgumentError("not a whole number");
+  return value;
+}
+
 const program = new Command("birchdale")
   .description("A cluster scheduler with fair sharing between teams.")
   .version(VERSION)
@@ -137,6 +145,40 @@
   },
 );
 
+program
+  .command("market")
+  .description("bid for idle machines, see accounts, write reports; see market --help")
+  .argument("[words...]")
+  .helpOption(false)
+  .allowUnknownOption()
+  .action(async (words: string[]) => {
+    const { marketCommands } = await import("./market/index.js");
+    await marketCommands(program).parseAsync(words, { from: "user" });
+  });
+
+program
+  .command("local")
+  .description("run a whole platform on this machine: state service, cloud, workers, controllers")
+  .option("--controllers <n>", "how many controllers", count, 3)
+  .option("--machines <m>", "how many machines of each type, zone and kind there are", count, 8)
+  .option("--port <port>", "where users submit; 0 for any", count, 8080)
+  .option("--commands", "let jobs run the command they name, on this machine")
+  .action(async (options: Omit<LocalOptions, "tuning" | "program" | "write">) => {
+    const { runLocal } = await import("./local/index.js");
+    const stop = new AbortController();
+    for (const name of ["SIGINT", "SIGTERM"] as const) process.once(name, () => stop.abort());
+    await runLocal(
+      {
+        ...options,
+        commands: options.commands === true,
+        tuning: program.opts<{ tuning?: string[] }>().tuning ?? [],
+        program: fileURLToPath(import.meta.url),
+        write: (text) => process.stdout.write(text),
+      },
+      stop.signal,
+    );
+  });
+
 try {
   await program.parseAsync();
 } catch (error) {
