--- a/test/market-world.test.ts
+++ b/test/market-world.test.ts
@@ -425,3 +425,33 @@
   assert.equal(state.rows.get("w/m/round")!.version, before);
   mirror.stop();
 });
+
+test("market: nothing of a guest runs in the bulletin's hours, and nothing is cut short for them", async () => {
+  // The world begins at 22:13:20 UTC.
+  const hours = 'hours { name: "bulletin" starts: "17 22 * * *" lasts_s: 60 time_zone: "UTC" }';
+  const kept = await operatorsOf(MARKET.replace("growth: 1", `growth: 1\n  ${hours}`));
+  const market = await opened(1, () => kept);
+  const { world } = market;
+  world.submit("wk-guest", { team: "visitor", tasks: 400, cpus: 2, runMs: 4000 });
+  const running = (): number =>
+    [...world.workers.values()]
+      .flatMap((worker) => [...worker.tasks.values()])
+      .filter((t) => t.piece.startsWith("wk-guest") && t.state !== "ended").length;
+  const start = Date.UTC(2023, 10, 14, 22, 17);
+  const from = start - world.clock.wall();
+  await world.clock.run(from);
+  let most = 0;
+  for (let ms = 0; ms < 60_000; ms += 100) {
+    await world.clock.run(100);
+    most = Math.max(most, running());
+  }
+  assert.equal(most, 0);
+  const ends = [...market.grants.values()].map(({ until }) => until);
+  assert.ok(ends.every((end) => end <= start));
+  // Grants sold before run to their ends: giving back looked as far ahead as selling, a minute, and
+  // ended them as soon as the hours came into sight.
+  assert.ok(Math.max(...ends) > start - 45_000, `${start - Math.max(...ends)} ms before`);
+  await until(market, () => running() > 0, 90_000);
+  world.cancel("wk-guest");
+  await closed(market);
+});
