--- a/src/market/report.ts
+++ b/src/market/report.ts
@@ -34,11 +34,11 @@
   });
   canvas.setOption({
     animation: false,
-    title: { text: title, left: 0, textStyle: { fontSize: 15 } },
-    legend: { top: 24, left: 0 },
-    grid: { left: 60, right: 20, top: 64, bottom: 30 },
+    title: { text: `${title} (${unit})`, left: 0, top: 0, textStyle: { fontSize: 15 } },
+    legend: { top: 36, left: 0 },
+    grid: { left: 60, right: 20, top: 72, bottom: 30 },
     xAxis: { type: "time" },
-    yAxis: { type: "value", name: unit, min: 0 },
+    yAxis: { type: "value", min: 0 },
     series: lines.map(({ name, points, steps, stack }) => ({
       type: "line",
       name,
--- a/test/market-world.test.ts
+++ b/test/market-world.test.ts
@@ -153,10 +153,7 @@
     const { world } = market;
     // Tasks that would run for ever, and do not save.
     world.submit("wk-guest", { team: "visitor", tasks: 12, cpus: 2, runMs: 3_600_000 });
-    const running = (): number =>
-      [...world.workers.values()]
-        .flatMap((worker) => [...worker.tasks.values()])
-        .filter((t) => t.piece.startsWith("wk-guest") && t.state !== "ended").length;
+    const running = (): number => market.running("wk-guest");
     await until(market, () => running() > 0);
     const end = Math.max(...[...market.grants.values()].map((grant) => grant.until));
     const left = end - world.clock.wall();
@@ -255,10 +252,7 @@
   const market = await opened(1, (n) => now(n));
   const { world } = market;
   world.submit("wk-guest", { team: "visitor", tasks: 12, cpus: 2, runMs: 3_600_000 });
-  const running = (): number =>
-    [...world.workers.values()]
-      .flatMap((worker) => [...worker.tasks.values()])
-      .filter((t) => t.piece.startsWith("wk-guest") && t.state !== "ended").length;
+  const running = (): number => market.running("wk-guest");
   await until(market, () => running() > 0);
   now = () => ({});
   for (let n = 0; n < 3; n++) world.crash(n, 3000);
@@ -433,10 +427,7 @@
   const market = await opened(1, () => kept);
   const { world } = market;
   world.submit("wk-guest", { team: "visitor", tasks: 400, cpus: 2, runMs: 4000 });
-  const running = (): number =>
-    [...world.workers.values()]
-      .flatMap((worker) => [...worker.tasks.values()])
-      .filter((t) => t.piece.startsWith("wk-guest") && t.state !== "ended").length;
+  const running = (): number => market.running("wk-guest");
   const start = Date.UTC(2023, 10, 14, 22, 17);
   const from = start - world.clock.wall();
   await world.clock.run(from);
--- a/test/support/market.ts
+++ b/test/support/market.ts
@@ -95,6 +95,13 @@
     return (found as { value: T }).value;
   }
 
+  /** Tasks of a job that are on machines, whatever they do there. */
+  running(job: string): number {
+    return [...this.world.workers.values()]
+      .flatMap((worker) => [...worker.tasks.values()])
+      .filter(({ piece, state }) => piece.startsWith(`${job}/`) && state !== "ended").length;
+  }
+
   /** Lets time pass until there is an answer. */
   async answer(method: string, path: string, body?: object): Promise<Answer> {
     const answer = await this.#run(this.ask(method, path, body), 60_000);
