--- a/test/market-world.test.ts
+++ b/test/market-world.test.ts
@@ -284,7 +284,7 @@
   await closed(market);
 });
 
-test("market: a year of rounds leaves no more keys than a day", async () => {
+test("market: bids that are over leave no keys behind", async () => {
   const market = await opened();
   const { world } = market;
   const counts: number[] = [];
