--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -25,7 +25,7 @@
   headroom: number;
   /** Whether a team's use keeps no machines. */
   yields(team: string): boolean;
-  /** CPUs of idle machines that are kept beyond the own demand: none is rented for them. */
+  /** CPUs of idle machines that are kept beyond the own demand. */
   kept(): number;
   /** What machines may be rented for beyond the own need, once that is met. */
   wanted(): Need[];
--- a/src/market/book.ts
+++ b/src/market/book.ts
@@ -107,8 +107,8 @@
   }
 
   /**
-   * Idle machines are worth keeping for bids that pay the operator's least price or more, and for
-   * what is sold and not used yet; nothing is rented for either.
+   * Idle machines are worth keeping for bids that pay the operator's least price or more, those
+   * with grants included: what is sold must not go back before it is used.
    */
   kept(): number {
     const now = this.core.clock.wall();
--- a/src/market/records.ts
+++ b/src/market/records.ts
@@ -54,7 +54,7 @@
   /** The instant it was for, milliseconds: rounds have no other name. */
   instant: number;
   phase: "closed" | "cleared" | "done";
-  /** Stamps up to this are in the round. Written by the close itself. */
+  /** What has been won and is not granted yet, with the stamp that its bid had. */
   grants: [bid: string, stamp: number, grant: Grant][];
   /** The price of a core-hour as a fraction, micro-units; null when nothing was sold. */
   price: [number, number] | null;
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -28,7 +28,7 @@
   seq: number;
 }
 
-/** `[cpus, gpus, memGb, count]` of machines with the same free room and zone. */
+/** Machines of one zone with the same free room, and how many there are. */
 export interface FreeRoom {
   zone: string;
   cpus: number;
