Match expressions: package classad, and the seam for them in placing

Need: jobs handed in as HTCondor submit files say in expressions which machines they want; fairness, quota and preemption must stay what they are.

In the core, 'may a task start here' is one question, Places, asked at placement, for room that is made, for chunks that are handed on and for what is rented; jobs of which nothing can start want no room, quota or machines. A job with expressions names a machine type that no machine has, so that a controller which does not know of expressions refuses it and starts none of it.

--- /dev/null
+++ b/src/classad/errors.ts
@@ -0,0 +1,22 @@
+/** Text that is not of the language. Lines and columns count from 1. */
+export class ClassAdError extends Error {
+  constructor(
+    readonly reason: string,
+    readonly line: number,
+    readonly column: number,
+    /** What could have stood there. */
+    readonly expected: readonly string[] = [],
+  ) {
+    super(`${line}:${column}: ${reason}`);
+  }
+
+  /** The same error in a text that begins at another place of a file. */
+  at(line: number, column: number): ClassAdError {
+    return new ClassAdError(
+      this.reason,
+      this.line + line - 1,
+      this.line === 1 ? this.column + column - 1 : this.column,
+      this.expected,
+    );
+  }
+}
--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -29,6 +29,8 @@
   kept(): number;
   /** What machines may be rented for beyond the own need, once that is met. */
   wanted(): Need[];
+  /** Whether a machine would do for a job with expressions. */
+  suits(job: string, offer: Offer): boolean;
   /** Whether we are certainly still the leader. */
   valid(): boolean;
 }
@@ -288,7 +290,7 @@
     );
     const now = this.ctx.clock.now();
     const offers = this.#offers();
-    const wishes = plan(needs, booting, this.#types, offers, wire.MAX_RENT);
+    const wishes = plan(needs, booting, this.#types, offers, wire.MAX_RENT, this.ctx.suits);
     if (wishes.length === 0) this.#shortSince = now;
     // How long all that there will be in a moment works on what waits.
     let cpus = roomIn(summaries);
@@ -305,7 +307,14 @@
     }
     // Own need first: what is there in a moment may be all that there is.
     if (wishes.length > 0) return;
-    for (const { offer, count } of plan(this.ctx.wanted(), booting, this.#types, offers, 1)) {
+    for (const { offer, count } of plan(
+      this.ctx.wanted(),
+      booting,
+      this.#types,
+      offers,
+      1,
+      this.ctx.suits,
+    )) {
       if (this.ctx.valid()) await this.#rentSome(offer, count);
     }
   }
--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -20,23 +20,31 @@
   type: string;
   zone: string;
   spot: boolean;
+  /** What it is a machine of. */
+  offer: Offer;
 }
 
-const fits = (bin: Bin, need: Need): boolean =>
+/** Whether a machine would do for a job whose expressions say so. */
+export type Suits = (job: string, offer: Offer) => boolean;
+
+const fits = (bin: Bin, need: Need, suits: Suits): boolean =>
   bin.cpus >= need.cpus &&
   bin.gpus >= need.gpus &&
   bin.memGb >= need.memGb &&
   (need.spot || !bin.spot) &&
   (need.zone === null || need.zone === bin.zone) &&
-  (need.types === null || need.types.includes(bin.type));
+  (need.job === undefined
+    ? need.types === null || need.types.includes(bin.type)
+    : suits(need.job, bin.offer));
 
-const binOf = ({ type, zone, spot }: Pick<Offer, "type" | "zone" | "spot">): Bin => ({
-  cpus: type.cpus,
-  gpus: type.gpus,
-  memGb: type.memGb,
-  type: type.name,
-  zone,
-  spot,
+const binOf = (offer: Offer): Bin => ({
+  cpus: offer.type.cpus,
+  gpus: offer.type.gpus,
+  memGb: offer.type.memGb,
+  type: offer.type.name,
+  zone: offer.zone,
+  spot: offer.spot,
+  offer,
 });
 
 const take = (bin: Bin, need: Need): void => {
@@ -70,25 +78,27 @@
   types: ReadonlyMap<string, MachineType>,
   offers: readonly Offer[],
   most: number,
+  suits: Suits = () => false,
 ): Wish[] {
   let bins: Bin[] = [];
   for (const machine of booting) {
     const type = types.get(machine.type);
-    if (type !== undefined) bins.push(binOf({ ...machine, type }));
+    const { zone, spot } = machine;
+    if (type !== undefined) bins.push(binOf({ type, zone, spot, price: 0 }));
   }
   const wishes = new Map<Offer, number>();
   // Large tasks first: small ones fill what is left.
   for (const need of [...needs].sort((a, b) => b.cpus - a.cpus || b.memGb - a.memGb)) {
     let left = need.count;
     for (const bin of bins) {
-      while (left > 0 && fits(bin, need)) {
+      while (left > 0 && fits(bin, need, suits)) {
         take(bin, need);
         left--;
       }
     }
     bins = bins.filter(({ cpus, gpus }) => cpus > 0 || gpus > 0);
     const usable = offers
-      .filter((offer) => fits(binOf(offer), need) && covered(offer, need))
+      .filter((offer) => fits(binOf(offer), need, suits) && covered(offer, need))
       .map((offer) => ({ offer, price: offer.price / Math.min(tasksPer(offer.type, need), left) }))
       .sort((a, b) => a.price - b.price);
     for (const { offer } of usable) {
@@ -96,7 +106,7 @@
         const bin = binOf(offer);
         bins.push(bin);
         wishes.set(offer, n + 1);
-        while (left > 0 && fits(bin, need)) {
+        while (left > 0 && fits(bin, need, suits)) {
           take(bin, need);
           left--;
         }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../clock.js";
 import { Fleet } from "../cloud/fleet.js";
+import type { Offer } from "../cloud/plan.js";
 import type { Attachment, Core, Extension, PlacingRules } from "../extension/index.js";
 import { type Amounts, Tree } from "../fair/share.js";
 import type { Caller } from "../http/client.js";
@@ -20,6 +21,7 @@
 import type { MachineType } from "../wire/cloud.js";
 import { statusPath } from "../wire/jobs.js";
 import { ordersBody } from "../wire/workers.js";
+import { Places } from "../workers/places.js";
 import { Owners } from "./owners.js";
 import { Standing } from "./standing.js";
 import { Users } from "./users.js";
@@ -65,6 +67,7 @@
   readonly #gone = new Set<string>();
   readonly #attached: Attachment[];
   readonly #rules: PlacingRules | null;
+  readonly #places: Places;
   #types = new Map<string, MachineType>();
   #fleet: Fleet | null = null;
   #led: { stop(): void }[] = [];
@@ -102,6 +105,9 @@
     );
     this.#attached = (extensions ?? []).map((extension) => extension.attach(core));
     this.#rules = this.#attached.find(({ rules }) => rules !== undefined)?.rules ?? null;
+    this.#places = new Places(
+      this.#attached.find(({ matching }) => matching !== undefined)?.matching ?? null,
+    );
     const most = new Map(this.#limits);
     for (const { teams } of extensions ?? [])
       for (const team of teams) most.set(team.name, team.most);
@@ -111,13 +117,14 @@
       core.summaries,
       clock,
       reportMs / 4,
+      (id, spec) => this.#places.idle(id, spec),
     );
     this.#owners = new Owners(
       core,
       () => this.#membership,
       (index, token, lost) => this.#contextOf(index, token, lost),
     );
-    this.#users = new Users(core, most, this.#owners.parts, this.#attached);
+    this.#users = new Users(core, most, this.#owners.parts, this.#attached, this.#places);
     this.router = this.#routes();
     this.#membership = new Membership(
       settings.node_name,
@@ -238,6 +245,7 @@
       partsOf: (zone) => layout.partsOf(zone),
       limits: this.#limits,
       rules: this.#rules,
+      places: this.#places,
       summaries,
       metrics: this.#metrics,
       targets: this.#standing.targets,
@@ -277,6 +285,7 @@
       yields: (team) => this.#rules?.yields(team) === true,
       kept: () => this.#rules?.kept() ?? 0,
       wanted: () => this.#rules?.wanted() ?? [],
+      suits: (job, offer) => this.#suits(job, offer),
       valid,
     });
     this.#fleet.start();
@@ -284,6 +293,12 @@
       if (lead !== undefined) this.#led.push(lead({ token, valid }));
   }
 
+  /** Whether a machine that could be rented would do for a job, empty as it comes. */
+  #suits(job: string, { type, zone, spot }: Offer): boolean {
+    const spec = this.#standing.open.get(job)?.spec;
+    return spec !== undefined && this.#places.may(spec, { type: type.name, zone, spot });
+  }
+
   #depose(): void {
     this.#fleet?.stop();
     this.#fleet = null;
--- a/src/controller/standing.ts
+++ b/src/controller/standing.ts
@@ -5,12 +5,16 @@
 import { chunksLeft, type Header, isHeader } from "../jobs/header.js";
 import type { Summaries } from "../part/summary.js";
 import type { Mirror } from "../state/mirror.js";
+import type { JobSpec } from "../wire/jobs.js";
 
 /** How all open jobs stand, in whatever part they are: within a guarantee, and in time. */
 export class Standing {
   readonly open = new Map<string, Header>();
   /** Those of them that are within their team's guarantee; null when it has to be found anew. */
   #inside: Set<string> | null = null;
+  #insideAt = Number.NEGATIVE_INFINITY;
+  /** Open jobs with expressions. */
+  #picky = 0;
   #inTime = new Set<string>();
   #inTimeAt = Number.NEGATIVE_INFINITY;
 
@@ -21,6 +25,8 @@
     readonly clock: Clock,
     /** For how long the answer about being in time is kept. */
     readonly keepMs: number,
+    /** Jobs of which nothing can start have no claim to anything. */
+    readonly idle: (id: string, spec: JobSpec) => boolean = () => false,
   ) {}
 
   /** Follows the headers; tells of each that changes, once it is known here. */
@@ -28,10 +34,13 @@
     mirror.on("w/j/", ({ key, value }) => {
       if (!isHeader(value)) return;
       const id = key.slice(4);
+      const known = this.open.get(id);
       if (value.status !== "open") {
         if (this.open.delete(id)) this.#inside = null;
+        if (known?.spec?.match !== undefined) this.#picky--;
       } else {
-        if (!this.open.has(id)) this.#inside = null;
+        if (known === undefined) this.#inside = null;
+        if (known === undefined && value.spec?.match !== undefined) this.#picky++;
         this.open.set(id, value);
       }
       tell(id, value);
@@ -49,12 +58,16 @@
    * unfinished jobs, wherever those run. Such jobs should not have to wait for other teams.
    */
   guaranteed(): ReadonlySet<string> {
-    if (this.#inside !== null) return this.#inside;
+    const now = this.clock.now();
+    // A held job is released, or a machine's answer changes, without a change of any header.
+    const old = this.#picky > 0 && now - this.#insideAt >= this.keepMs;
+    if (this.#inside !== null && !old) return this.#inside;
     this.#inside = new Set();
+    this.#insideAt = now;
     const left = new Map(this.guarantees);
     for (const [id, { spec }] of [...this.open].sort(([, a], [, b]) => a.at - b.at)) {
       const rest = spec === undefined ? undefined : left.get(spec.team);
-      if (spec === undefined || rest === undefined) continue;
+      if (spec === undefined || rest === undefined || this.idle(id, spec)) continue;
       const size = { cpus: spec.cpus * spec.tasks, gpus: spec.gpus * spec.tasks };
       if (within(size, rest)) this.#inside.add(id);
       left.set(spec.team, minus(rest, size));
@@ -70,7 +83,7 @@
     const wall = this.clock.wall();
     const jobs = new Map<string, Due[]>();
     for (const [id, { spec, at, owners, chunkSize }] of this.open) {
-      if (spec === undefined) continue;
+      if (spec === undefined || this.idle(id, spec)) continue;
       const left = Math.min(spec.tasks, chunksLeft(owners) * chunkSize);
       const due: Due = {
         id,
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -14,7 +14,8 @@
 import { keys } from "../state/keys.js";
 import { Refused } from "../state/store.js";
 import { isJobId, type JobSpec, parseSubmission, statusBody } from "../wire/jobs.js";
-import { allowed, typeFits } from "../workers/machine.js";
+import { typeFits } from "../workers/machine.js";
+import type { Places } from "../workers/places.js";
 
 /** Answers users: takes, shows and cancels jobs, whoever owns the parts that run them. */
 export class Users {
@@ -24,6 +25,7 @@
     readonly most: ReadonlyMap<string, Amounts>,
     readonly parts: ReadonlyMap<number, Part>,
     readonly attached: readonly Attachment[],
+    readonly places: Places,
   ) {}
 
   #known(id: string): Header | null {
@@ -58,11 +60,11 @@
     try {
       if (this.#known(id) === null) {
         if (this.core.types().size === 0) return retryLater(503, "machine types not known yet");
-        const never = this.#neverRuns(spec);
+        const never = this.#refusal(id, spec);
         if (never !== null) {
           // Only a job that was never accepted may be refused.
           const known = await this.#current(id);
-          if (known === null) return { status: 422, body: { error: never } };
+          if (known === null) return { status: never.status, body: { error: never.reason } };
         } else {
           const notNow = this.#notNow(spec);
           if (notNow !== null && (await this.#current(id)) === null) return retryLater(503, notNow);
@@ -93,6 +95,16 @@
     }
   }
 
+  /** Why a job can never be taken. */
+  #refusal(id: string, spec: JobSpec): { status: number; reason: string } | null {
+    if (spec.match !== undefined && this.places.matching === null) {
+      return { status: 400, reason: "jobs with expressions are not switched on here" };
+    }
+    const never = this.#neverRuns(spec);
+    if (never !== null) return { status: 422, reason: never };
+    return spec.match === undefined ? null : this.places.matching!.refuses(id, spec);
+  }
+
   #neverRuns(spec: JobSpec): string | null {
     const limit = this.most.get(spec.team);
     if (limit === undefined) return "unknown team";
@@ -108,7 +120,7 @@
 
   #notNow(spec: JobSpec): string | null {
     for (const { refuses } of this.attached) {
-      const reason = refuses?.(spec.team) ?? null;
+      const reason = refuses?.(spec) ?? null;
       if (reason !== null) return reason;
     }
     return null;
@@ -127,7 +139,7 @@
       const allowance = rules?.allowance(spec.team, part);
       if (allowance != null) return allowance.start.cpus - (summary?.use[spec.team]?.[0] ?? 0);
       if (summary === undefined) return 0;
-      return roomOf(summary.kinds, (kind) => allowed(spec, kind)).free - summary.waiting;
+      return roomOf(summary.kinds, (kind) => this.places.may(spec, kind)).free - summary.waiting;
     });
     let owners = "";
     const eligible = spec.zone === null ? [...room.keys()] : layout.partsOf(spec.zone);
--- a/src/extension/index.ts
+++ b/src/extension/index.ts
@@ -10,9 +10,12 @@
 import type { Layout } from "../membership/layout.js";
 import type { Need, Summaries } from "../part/summary.js";
 import type { Settings } from "../settings/settings.js";
+import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
 import type { Store } from "../state/store.js";
 import type { MachineType } from "../wire/cloud.js";
+import type { JobSpec, Match } from "../wire/jobs.js";
+import type { MachineKind, Room } from "../workers/machine.js";
 
 /** What every side of a controller, and every package in it, shares. */
 export interface Core {
@@ -66,6 +69,29 @@
   wanted(): Need[];
 }
 
+/**
+ * Which machines jobs with expressions may use. Pure questions as well: machines of one kind with
+ * the same room have to be answered alike, so that an answer can be kept.
+ */
+export interface Matching {
+  /** How much a job prefers such a machine; null: its tasks may not start there. */
+  rank(spec: JobSpec, on: MachineKind, room: Room | null): number | null;
+  /** Whether nothing of a job may start now, whatever room there is. */
+  idle(id: string, spec: JobSpec): boolean;
+  /** Alike for jobs that get the same answers; null when answers change with room or time. */
+  like(match: Match): string | null;
+  /** Why a job is held: its tasks are stopped, with time to save; null when it is not. */
+  held(id: string): string | null;
+  /** How long one of its tasks may run, milliseconds; null for any time. */
+  mostMs(spec: JobSpec): number | null;
+  /** How often in a row its tasks may fail; null for any number. */
+  retries(spec: JobSpec): number | null;
+  /** Tells that a job went beyond what it may: it is to be held. May be told again and again. */
+  hold(id: string, reason: string): void;
+  /** Why a submission can never be taken: the status and the reason; null when it can. */
+  refuses(id: string, spec: JobSpec): { status: number; reason: string } | null;
+}
+
 /** What a package does for the leader, as long as a leader's claim holds. */
 export interface Leading {
   /** The fencing token: the version of the leader's claim. */
@@ -81,9 +107,10 @@
   /** Requests beside the protocol's paths; null for paths that are not its own. */
   find?: Router["find"];
   rules?: PlacingRules;
+  matching?: Matching;
   lead?(leading: Leading): { stop(): void };
-  /** Why a submission of one of its teams cannot be taken now, or null. */
-  refuses?(team: string): string | null;
+  /** Why a submission that needs the package cannot be taken now, or null. */
+  refuses?(spec: JobSpec): string | null;
   /** For `/about/status`. */
   status?(): object;
 }
@@ -93,3 +120,18 @@
   readonly teams: readonly ExtraTeam[];
   attach(core: Core): Attachment;
 }
+
+/**
+ * The controllers that serve without a package, by name: they would not do for its jobs what it
+ * promises. While there is one, such jobs are not taken.
+ */
+export function without(name: string, { layout, mirror }: Core): string[] {
+  return layout.members
+    .map((member) => member.name)
+    .filter((member) => {
+      const row = mirror.rows.get(keys.node(member));
+      if (row === undefined) return false;
+      const { speaks } = row.value as { speaks?: unknown };
+      return !Array.isArray(speaks) || !speaks.includes(name);
+    });
+}
--- a/src/jobs/header.ts
+++ b/src/jobs/header.ts
@@ -46,9 +46,9 @@
   return header.started ? "running" : "pending";
 }
 
-/** Whether all tasks have to be in one part: gangs, and rules about the zones of all tasks. */
+/** Whether all tasks have to be in one part: gangs, and rules about all tasks of a job. */
 export const undivided = (spec: JobSpec): boolean =>
-  spec.kind === "gang" || spec.oneZone || spec.spread;
+  spec.kind === "gang" || spec.oneZone || spec.spread || (spec.match?.atOnce ?? null) !== null;
 
 export function isHeader(value: unknown): value is Header {
   return typeof value === "object" && value !== null && "status" in value && "owners" in value;
--- a/src/market/index.ts
+++ b/src/market/index.ts
@@ -3,9 +3,8 @@
  * for them. Switched on by the message `market` in the operators' settings
  * (`deploy/market.textproto`); `docs/market.md` says how it works and why its rules hold.
  */
-import type { Attachment, Core, Extension } from "../extension/index.js";
+import { type Attachment, type Core, type Extension, without } from "../extension/index.js";
 import type { PackageDoor } from "../settings/operators.js";
-import { keys as coreKeys } from "../state/keys.js";
 import { MarketApi } from "./api.js";
 import { Book } from "./book.js";
 import { MarketLeader } from "./leader.js";
@@ -48,7 +47,12 @@
       find: api.find,
       rules: book,
       lead: (leading) => new MarketLeader(core, this.settings, book, leading),
-      refuses: (team) => (book.yields(team) ? strangers(core) : null),
+      // A controller without the market does not know the guests' teams: it would neither start their
+      // tasks nor end them.
+      refuses: ({ team }) => {
+        const [stranger] = book.yields(team) ? without(NAME, core) : [];
+        return stranger === undefined ? null : `${stranger} has no market`;
+      },
       status: () => ({
         market: {
           bids: book.bids.size,
@@ -60,20 +64,6 @@
   }
 }
 
-/**
- * A controller without the market does not know the guests' teams: it would neither start their
- * tasks nor end them. As long as one serves, guests' jobs are not taken.
- */
-function strangers(core: Core): string | null {
-  for (const { name } of core.layout.members) {
-    const row = core.mirror.rows.get(coreKeys.node(name));
-    if (row === undefined) continue;
-    const { speaks } = row.value as { speaks?: unknown };
-    if (!Array.isArray(speaks) || !speaks.includes(NAME)) return `${name} has no market`;
-  }
-  return null;
-}
-
 export const door: PackageDoor = {
   schema,
   open: (raw, settings, refuse) => {
--- a/src/part/balancing.ts
+++ b/src/part/balancing.ts
@@ -1,7 +1,7 @@
 import { EPSILON, within } from "../fair/share.js";
 import { undivided } from "../jobs/header.js";
 import type { MachineType } from "../wire/cloud.js";
-import { allowed, type Machine, unreserved } from "../workers/machine.js";
+import { type Machine, unreserved } from "../workers/machine.js";
 import type { PartContext } from "./context.js";
 import type { Job } from "./job.js";
 import type { Pass } from "./placing.js";
@@ -90,7 +90,7 @@
         (chunk) => chunk.live.size === 0 && chunk.pending > 0 && chunk.movingTo === null,
       );
       if (idle.length === 0 || (pinned && idle.length < job.chunks.size)) continue;
-      const usable = (kind: KindRoom): boolean => allowed(spec, kind);
+      const usable = (kind: KindRoom): boolean => this.ctx.places.may(spec, kind);
       const granted = this.#granted(job);
       const here = granted(this.ctx.index) ? roomOf(own, usable) : NOWHERE;
       const rooms = others
--- a/src/part/context.ts
+++ b/src/part/context.ts
@@ -8,6 +8,7 @@
 import type { Store } from "../state/store.js";
 import type { MachineType } from "../wire/cloud.js";
 import type * as wire from "../wire/workers.js";
+import type { Places } from "../workers/places.js";
 import type { Summaries, Summary } from "./summary.js";
 
 /** What the owner of a part gets from the controller it runs in. */
@@ -32,6 +33,8 @@
   limits: ReadonlyMap<string, Amounts>;
   /** What an optional package says about placing. */
   rules: PlacingRules | null;
+  /** Where tasks may start. */
+  places: Places;
   summaries: Summaries;
   metrics: Metrics;
   /** Machines that the cloud has confirmed to be gone. */
--- /dev/null
+++ b/src/part/holding.ts
@@ -0,0 +1,35 @@
+import type { Matching } from "../extension/index.js";
+import type { Ledger } from "./ledger.js";
+import type { Workers } from "./workers.js";
+
+/**
+ * Stops what a hold, or a job's own limit of time, ends: tasks of held jobs with time to save, and
+ * tasks that have run too long, whose job is then held. Only jobs with expressions have either.
+ */
+export function enforce(
+  matching: Matching,
+  now: number,
+  ledger: Ledger,
+  workers: Workers,
+  reportMs: number,
+): void {
+  for (const job of ledger.jobs.values()) {
+    const { spec, id, open } = job;
+    if (spec.match === undefined || !open) continue;
+    const held = matching.held(id) !== null;
+    const mostMs = matching.mostMs(spec);
+    const retries = matching.retries(spec);
+    if (retries !== null && job.failures > retries && !held) {
+      matching.hold(id, `failed ${job.failures} times in a row, max_retries is ${retries}`);
+    }
+    if (!held && mostMs === null) continue;
+    for (const chunk of job.chunks.values()) {
+      for (const live of chunk.live.values()) {
+        const late = mostMs !== null && live.running && now - live.since > mostMs;
+        if (late && !held) matching.hold(id, "ran longer than allowed_execute_duration");
+        if (!held || live.stop !== null) continue;
+        workers.stop(live, spec.checkpointS > 0 ? spec.saveS + reportMs / 1000 : 0, "held");
+      }
+    }
+  }
+}
--- a/src/part/job.ts
+++ b/src/part/job.ts
@@ -40,17 +40,29 @@
     return this.header.status === "open";
   }
 
-  /** Tasks that are neither done nor placed. */
+  /** Tasks that are neither done nor placed, as far as the job wants so many at a time. */
   get waiting(): number {
     let count = 0;
     for (const chunk of this.chunks.values()) count += chunk.pending;
-    return count;
+    return this.#wanted(count);
   }
 
   /** Those of them that may be placed here: not what is being handed to another part. */
   get pending(): number {
     let count = 0;
     for (const chunk of this.chunks.values()) if (chunk.movingTo === null) count += chunk.pending;
+    return this.#wanted(count);
+  }
+
+  #wanted(count: number): number {
+    const most = this.spec.match?.atOnce ?? null;
+    return most === null ? count : Math.max(0, Math.min(count, most - this.placed));
+  }
+
+  /** Tasks that are placed here and not proved gone. */
+  get placed(): number {
+    let count = 0;
+    for (const chunk of this.chunks.values()) count += chunk.live.size;
     return count;
   }
 
--- a/src/part/ledger.ts
+++ b/src/part/ledger.ts
@@ -151,9 +151,10 @@
 
   /** CPUs of all tasks that wait here; what yields presses on nobody. */
   get waitingCpus(): number {
-    const { rules } = this.ctx;
+    const { rules, places } = this.ctx;
     let sum = 0;
     for (const job of this.jobs.values()) {
+      if (places.idle(job.id, job.spec)) continue;
       if (job.open && rules?.yields(job.spec.team) !== true) sum += job.waiting * job.spec.cpus;
     }
     return Math.round(sum);
@@ -164,7 +165,8 @@
     const sums = new Map<string, Demand>();
     const timely = this.ctx.timely();
     for (const job of this.jobs.values()) {
-      const { spec, waiting, open, chunks } = job;
+      const { spec, waiting, chunks } = job;
+      const open = job.open && !this.ctx.places.idle(job.id, spec);
       const rank = rankOf(job, timely);
       let count = open ? waiting : 0;
       for (const chunk of chunks.values()) count += chunk.live.size;
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -11,6 +11,7 @@
 import { Balancing, kindsOf } from "./balancing.js";
 import { Commits, type Outcome } from "./commits.js";
 import type { PartContext } from "./context.js";
+import { enforce } from "./holding.js";
 import type { Job } from "./job.js";
 import { Ledger } from "./ledger.js";
 import { beginPass, Placing, usable } from "./placing.js";
@@ -243,7 +244,7 @@
   #tick(): void {
     this.#lastTick = this.ctx.clock.now();
     this.#soon(this.ctx.reportMs / 4);
-    const { rules } = this.ctx;
+    const { rules, places } = this.ctx;
     // Allowances end by the clock, also while the store or the other controllers are out of reach:
     // an owner that is no longer sure of its claim may still stop what has no right to run.
     if (rules !== null) withdrawAllowances(rules, this.ctx, this.#ledger, this.#workers);
@@ -251,10 +252,19 @@
       this.#workers.sendOrders();
       return;
     }
+    if (places.matching !== null) {
+      enforce(
+        places.matching,
+        this.ctx.clock.now(),
+        this.#ledger,
+        this.#workers,
+        this.ctx.reportMs,
+      );
+    }
     this.#quota.begin();
     const pass = beginPass(this.ctx, this.#ledger);
     const blocked = this.#placing.run(pass);
-    if (rules !== null) this.#starved = starvedOf(blocked, this.#quota, rules, pass);
+    if (rules !== null) this.#starved = starvedOf(blocked, this.#quota, { rules, places }, pass);
     if (blocked.length > 0) {
       // Where there is room elsewhere, nothing has to be stopped here.
       if (this.#balancing.run(blocked, pass, this.#ledger.waitingCpus)) this.#ledger.changes++;
@@ -322,16 +332,19 @@
       Object.fromEntries([...map].map(([team, a]) => [team, [a.cpus, a.gpus]]));
     const needs = new Map<string, Need>();
     let workS = 0;
-    const { rules } = this.ctx;
+    const { rules, places } = this.ctx;
     for (const job of this.jobs.values()) {
       // No machine is rented for those who yield.
       if (!job.open || job.failures > 1 || rules?.yields(job.spec.team) === true) continue;
       const count = job.waiting;
-      if (count === 0) continue;
+      if (count === 0 || places.idle(job.id, job.spec)) continue;
       const { cpus, gpus, memGb, spot, types, zone, estimateS } = job.spec;
       workS += count * cpus * estimateS;
-      const need = { cpus, gpus, memGb, spot, types, zone, count };
-      const key = JSON.stringify({ ...need, count: 0 });
+      const need: Need = { cpus, gpus, memGb, spot, types, zone, count };
+      const like = places.like(job.spec) ?? job.id;
+      const key = JSON.stringify({ ...need, count: 0, like });
+      // The leader finds the expressions in that job's header.
+      if (job.spec.match !== undefined) need.job = job.id;
       const known = needs.get(key);
       if (known === undefined) needs.set(key, need);
       else known.count += count;
--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -2,14 +2,7 @@
 import type { Chunk } from "../jobs/chunk.js";
 import type { MachineType } from "../wire/cloud.js";
 import type { JobSpec } from "../wire/jobs.js";
-import {
-  allowed,
-  fitsRoom,
-  give,
-  type Machine,
-  unreserved,
-  zoneAllowed,
-} from "../workers/machine.js";
+import { fitsRoom, give, type Machine, unreserved, zoneAllowed } from "../workers/machine.js";
 import type { PartContext } from "./context.js";
 import { byUrgency, type Job } from "./job.js";
 import type { Ledger } from "./ledger.js";
@@ -74,6 +67,7 @@
     const queues = new Map<string, Job[]>();
     for (const job of this.ledger.jobs.values()) {
       if (job.notBefore > now || !job.open || job.pending === 0) continue;
+      if (this.ctx.places.idle(job.id, job.spec)) continue;
       const queue = queues.get(job.spec.team);
       if (queue === undefined) queues.set(job.spec.team, [job]);
       else queue.push(job);
@@ -147,15 +141,18 @@
     const { spec, pending: count } = job;
     if (count === 0 || !this.quota.fits(spec, count)) return null;
     const zones = spec.oneZone ? [...new Set(machines.map(({ zone }) => zone))] : [null];
+    const { places } = this.ctx;
+    const preferred = spec.match === undefined ? machines : this.#ranked(spec, machines, types);
     for (const zone of zones) {
       const hosts: Machine[] = [];
       const perZone = new Map<string, number>();
-      for (const machine of machines) {
-        if (!allowed(spec, machine) || (zone !== null && machine.zone !== zone)) continue;
+      for (const machine of preferred) {
+        if (zone !== null && machine.zone !== zone) continue;
         const room = { ...unreserved(machine.room(types.get(machine.type)), machine, job.id) };
         while (
           hosts.length < count &&
           fitsRoom(room, spec) &&
+          places.may(spec, machine, room) &&
           zoneAllowed(spec, machine.zone, perZone)
         ) {
           give(room, spec, -1);
@@ -168,6 +165,17 @@
     return null;
   }
 
+  /** The machines that a job likes best first; the others in the order in which they are. */
+  #ranked(spec: JobSpec, machines: readonly Machine[], types: Pass["types"]): Machine[] {
+    return machines
+      .map((machine) => {
+        const room = machine.room(types.get(machine.type));
+        return { machine, rank: this.ctx.places.rank(spec, machine, room) };
+      })
+      .sort((a, b) => b.rank - a.rank)
+      .map(({ machine }) => machine);
+  }
+
   /** The zones of a job's tasks that are placed. */
   #zones(job: Job): Map<string, number> {
     const zones = new Map<string, number>();
@@ -202,6 +210,8 @@
   #again(job: Job, { types }: Pass): Machine | null {
     const { spec } = job;
     if (this.#last?.job !== job || spec.oneZone || spec.spread) return null;
+    // What changes with a machine's room has to be asked anew of all machines.
+    if (this.ctx.places.like(spec) === null) return null;
     const { machine } = this.#last;
     const room = unreserved(machine.room(types.get(machine.type)), machine, job.id);
     return fitsRoom(room, spec) ? machine : null;
@@ -209,8 +219,10 @@
 
   #best(job: Job, { machines, types, now, guaranteed }: Pass): Machine | null {
     const { spec } = job;
-    const shape = shapeOf(spec);
-    const plain = !spec.oneZone && !spec.spread && job.failures === 0;
+    const { places } = this.ctx;
+    const like = places.like(spec);
+    const shape = shapeOf(spec, like);
+    const plain = like !== null && !spec.oneZone && !spec.spread && job.failures === 0;
     if (plain && this.#hopeless.has(shape)) {
       if (!machines.some(({ reserved }) => reserved.has(job.id))) return null;
     }
@@ -218,12 +230,14 @@
     const zones = spec.oneZone || spec.spread ? this.#zones(job) : null;
     let best: Machine | null = null;
     let bestCost = Number.POSITIVE_INFINITY;
+    let bestRank = Number.NEGATIVE_INFINITY;
     for (const machine of machines) {
       const free = machine.room(types.get(machine.type));
       if (!fitsRoom(free, spec)) continue;
-      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
+      if (machine.failedJobs.has(job.id)) continue;
       const room = unreserved(free, machine, job.id);
       if (room !== free && !fitsRoom(room, spec)) continue;
+      if (!places.may(spec, machine, room)) continue;
       if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
       // The fullest cheap machine that has the image: keeps others free, to be used whole or
       // returned, the dear ones first.
@@ -234,9 +248,14 @@
         (entitled ? 100 * (1 - Math.min(1, (now - machine.lastSeen) / this.ctx.reportMs)) : 0) +
         (machine.spot ? 0 : 1000) +
         (spec.image === null || machine.images.has(spec.image) ? 0 : 2000);
-      if (cost < bestCost) {
+      // Room that others made for this job comes first: what was stopped for it must be of use.
+      const rank = machine.reserved.has(job.id)
+        ? Number.POSITIVE_INFINITY
+        : places.rank(spec, machine, room);
+      if (rank > bestRank || (rank === bestRank && cost < bestCost)) {
         best = machine;
         bestCost = cost;
+        bestRank = rank;
       }
     }
     if (best === null && plain) this.#hopeless.add(shape);
@@ -244,5 +263,5 @@
   }
 }
 
-const shapeOf = ({ cpus, gpus, memGb, spot, types, zone }: JobSpec): string =>
-  `${cpus}/${gpus}/${memGb}/${spot}/${types?.join() ?? ""}/${zone ?? ""}`;
+const shapeOf = ({ cpus, gpus, memGb, spot, types, zone }: JobSpec, like: string | null): string =>
+  `${cpus}/${gpus}/${memGb}/${spot}/${types?.join() ?? ""}/${zone ?? ""}/${like}`;
--- a/src/part/preempting.ts
+++ b/src/part/preempting.ts
@@ -98,7 +98,10 @@
         evenPatience: even && patience >= 0 ? patience / this.ctx.patience : -1,
       };
       // Another job like it, with the same rights, has just found nothing.
-      const like = entitled ? `${spec.team}/${rank}/${spec.cpus}/${spec.memGb}/${spec.spot}` : "";
+      const answers = this.ctx.places.like(spec);
+      const like = entitled
+        ? `${spec.team}/${rank}/${spec.cpus}/${spec.memGb}/${spec.spot}/${answers ?? job.id}`
+        : "";
       if (hopeless.has(like)) continue;
       for (; pending > 0 && left > 0; pending -= together) {
         left--;
@@ -257,10 +260,14 @@
     };
     let best: { hosts: Machine[]; picks: Pick[] } | null = null;
     let bestCost: number[] = [];
+    const { places } = this.ctx;
+    // Nothing is stopped for room that the job's requirements, as they will be then, rule out.
+    const takes = (machine: Machine, room: Room): boolean =>
+      fitsRoom(room, spec) && places.may(spec, machine, room);
     for (const machine of machines) {
-      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
+      if (machine.failedJobs.has(job.id) || !allowed(spec, machine)) continue;
       const room = this.#rooms.get(machine)!;
-      if (fitsRoom(room, spec)) return { hosts: [machine], picks: [] };
+      if (takes(machine, room)) return { hosts: [machine], picks: [] };
       const here = this.#byMachine.get(machine)!.filter(concerns);
       if (here.length === 0) continue;
       const after = { ...room };
@@ -271,6 +278,7 @@
       };
       for (const victim of here) freed(victim, 1);
       if (!fitsRoom(after, spec)) continue;
+      if (places.like(spec) !== null && !places.may(spec, machine, after)) continue;
       const picks = chooseVictims(
         tree,
         asker,
@@ -278,7 +286,7 @@
         (stopped) => {
           Object.assign(after, room);
           for (const id of stopped) freed(this.#candidates.get(id)!, 1);
-          return fitsRoom(after, spec);
+          return takes(machine, after);
         },
         MOST_PICKS,
       );
@@ -309,6 +317,7 @@
   #onMany(job: Job, asker: Asker, pass: Pass): { hosts: Machine[]; picks: Pick[] } | null {
     const { spec } = job;
     const count = Math.round(asker.size.cpus / Math.max(spec.cpus, 1e-9)) || job.pending;
+    const { places } = this.ctx;
     const hosts = pass.machines.filter((machine) => allowed(spec, machine));
     const place = (stopped: ReadonlySet<string>): Machine[] | null => {
       const freed = new Map<Machine, Room>();
@@ -326,7 +335,11 @@
       }
       const chosen: Machine[] = [];
       for (const machine of hosts) {
-        while (chosen.length < count && fitsRoom(roomOf(machine), spec)) {
+        while (
+          chosen.length < count &&
+          fitsRoom(roomOf(machine), spec) &&
+          places.may(spec, machine, roomOf(machine))
+        ) {
           give(roomOf(machine), spec, -1);
           chosen.push(machine);
         }
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -57,6 +57,8 @@
   count: number;
   /** Only machines whose cores cost at most this an hour are worth renting for it. */
   most?: number;
+  /** A job whose expressions say which machines will do. */
+  job?: string;
 }
 
 export function isSummary(value: unknown): value is Summary {
--- a/src/part/yielding.ts
+++ b/src/part/yielding.ts
@@ -2,7 +2,8 @@
 import { type Amounts, EPSILON } from "../fair/share.js";
 import type { Live } from "../jobs/chunk.js";
 import type { JobSpec } from "../wire/jobs.js";
-import { allowed, fitsRoom, type Machine } from "../workers/machine.js";
+import { fitsRoom, type Machine } from "../workers/machine.js";
+import type { Places } from "../workers/places.js";
 import type { PartContext } from "./context.js";
 import type { Job } from "./job.js";
 import type { Ledger } from "./ledger.js";
@@ -102,14 +103,14 @@
 export function starvedOf(
   blocked: readonly Job[],
   quota: Quota,
-  rules: PlacingRules,
+  { rules, places }: { rules: PlacingRules; places: Places },
   { machines, types }: Pick<Pass, "machines" | "types">,
 ): number {
   // Room that no guest's machine could give: ending grants for it would help nobody.
   const helps = (spec: JobSpec): boolean =>
     machines.some((machine) => {
       const type = types.get(machine.type);
-      return type !== undefined && allowed(spec, machine) && fitsRoom(type, spec);
+      return type !== undefined && places.may(spec, machine) && fitsRoom(type, spec);
     });
   const byTeam = new Map<string, number>();
   for (const { spec, failures, pending } of blocked) {
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -14,6 +14,8 @@
 const KIND_SUMMARY = 2;
 /** A summary with free room machine by machine; who does not know it reads the store's. */
 const KIND_ROOMS = 3;
+/** A summary with needs of jobs that have expressions, and free room if there is any. */
+const KIND_JOBS = 4;
 
 export type Frame =
   | { kind: "hello"; version: number; node: string }
@@ -119,6 +121,7 @@
 const SPOT = 1;
 const HAS_TYPES = 2;
 const HAS_ZONE = 4;
+const HAS_JOB = 8;
 
 function writeNeed(out: Writer, need: Need): void {
   out.f64(need.cpus);
@@ -127,10 +130,12 @@
   out.u8(
     (need.spot ? SPOT : 0) |
       (need.types === null ? 0 : HAS_TYPES) |
-      (need.zone === null ? 0 : HAS_ZONE),
+      (need.zone === null ? 0 : HAS_ZONE) |
+      (need.job === undefined ? 0 : HAS_JOB),
   );
   if (need.types !== null) out.list(need.types, (type) => out.text(type));
   if (need.zone !== null) out.text(need.zone);
+  if (need.job !== undefined) out.text(need.job);
   out.u32(need.count);
 }
 
@@ -141,7 +146,8 @@
   const flags = from.u8();
   const types = (flags & HAS_TYPES) === 0 ? null : from.list(() => from.text());
   const zone = (flags & HAS_ZONE) === 0 ? null : from.text();
-  return { cpus, gpus, memGb, spot: (flags & SPOT) !== 0, types, zone, count: from.u32() };
+  const job = (flags & HAS_JOB) === 0 ? {} : { job: from.text() };
+  return { cpus, gpus, memGb, spot: (flags & SPOT) !== 0, types, zone, ...job, count: from.u32() };
 }
 
 const writePairs = (out: Writer, pairs: Record<string, [number, number]>): void =>
@@ -165,7 +171,9 @@
     return out.finish();
   }
   const { part, summary } = frame;
-  out.u8(summary.rooms === undefined ? KIND_SUMMARY : KIND_ROOMS);
+  // A kind that an older version does not know is left out there, and the store's is read.
+  const jobs = summary.need.some(({ job }) => job !== undefined);
+  out.u8(jobs ? KIND_JOBS : summary.rooms === undefined ? KIND_SUMMARY : KIND_ROOMS);
   out.u32(part);
   out.f64(summary.token);
   out.f64(summary.seq);
@@ -194,6 +202,7 @@
     out.text(id);
     out.f64(seconds);
   });
+  if (jobs) out.u8(summary.rooms === undefined ? 0 : 1);
   if (summary.rooms !== undefined) {
     out.f64(summary.starved ?? 0);
     out.list(summary.rooms, ({ zone, cpus, gpus, memGb, count }) => {
@@ -219,7 +228,7 @@
     from.end();
     return frame;
   }
-  if (kind !== KIND_SUMMARY && kind !== KIND_ROOMS) return null;
+  if (kind !== KIND_SUMMARY && kind !== KIND_ROOMS && kind !== KIND_JOBS) return null;
   const part = from.u32();
   const token = from.f64();
   const seq = from.f64();
@@ -245,19 +254,19 @@
   const machines = from.list(() => from.text());
   const retired = from.list(() => from.text());
   const idle = Object.fromEntries(from.list((): [string, number] => [from.text(), from.f64()]));
-  const more =
-    kind === KIND_SUMMARY
-      ? {}
-      : {
-          starved: from.f64(),
-          rooms: from.list(() => ({
-            zone: from.text(),
-            cpus: from.f64(),
-            gpus: from.f64(),
-            memGb: from.f64(),
-            count: from.u32(),
-          })),
-        };
+  const rooms = kind === KIND_JOBS ? from.u8() === 1 : kind === KIND_ROOMS;
+  const more = !rooms
+    ? {}
+    : {
+        starved: from.f64(),
+        rooms: from.list(() => ({
+          zone: from.text(),
+          cpus: from.f64(),
+          gpus: from.f64(),
+          memGb: from.f64(),
+          count: from.u32(),
+        })),
+      };
   from.end();
   return {
     kind: "summary",
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -35,8 +35,25 @@
   checkpointS: number;
   saveS: number;
   deadlineS: number | null;
+  /** Only with the package for submit files; absent for all other jobs. */
+  match?: Match;
 }
 
+/** What a job asks of machines in expressions. The texts are the package's to read; "" is none. */
+export interface Match {
+  ad: string;
+  requirements: string;
+  rank: string;
+  /** How many of its tasks may be placed at a time; null for any number. */
+  atOnce: number | null;
+}
+
+/**
+ * The only machine type that a job with expressions names. No machine has it: a controller that
+ * does not know of expressions refuses such a job, and one that takes it over starts none of it.
+ */
+export const BY_REQUIREMENTS = "(requirements)";
+
 const JOB_ID = /^wk-[0-9A-Za-z][0-9A-Za-z_.-]{0,99}$/;
 
 export function isJobId(text: string): boolean {
@@ -71,6 +88,10 @@
   stashEveryS: amount,
   stashS: amount,
   dueS: amount.nullish(),
+  ad: z.string().nullish(),
+  requirements: z.string().nullish(),
+  rank: z.string().nullish(),
+  atOnce: count.nullish(),
 });
 
 export type Parsed<T> = { ok: true; value: T } | { ok: false; reason: string };
@@ -83,6 +104,12 @@
     return { ok: false, reason: `${issue?.path.join(".") ?? "body"}: ${issue?.message}` };
   }
   const job = result.data;
+  const match = matchOf(job);
+  const named = job.builds?.length === 1 && job.builds[0] === BY_REQUIREMENTS;
+  if ((match !== null) !== named) {
+    const reason = `a job with expressions, and no other, has ["${BY_REQUIREMENTS}"] here`;
+    return { ok: false, reason: `builds: ${reason}` };
+  }
   return {
     ok: true,
     value: {
@@ -106,11 +133,24 @@
         checkpointS: job.stashEveryS,
         saveS: job.stashS,
         deadlineS: job.dueS ?? null,
+        ...(match === null ? {} : { match }),
       },
     },
   };
 }
 
+type Asked = Pick<z.infer<typeof submission>, "ad" | "requirements" | "rank" | "atOnce">;
+
+function matchOf({ ad, requirements, rank, atOnce }: Asked): Match | null {
+  if (ad == null && requirements == null && rank == null && atOnce == null) return null;
+  return {
+    ad: ad ?? "",
+    requirements: requirements ?? "",
+    rank: rank ?? "",
+    atOnce: atOnce ?? null,
+  };
+}
+
 export type JobStatus = "pending" | "running" | "done" | "cancelled";
 
 export function statusBody(
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -79,17 +79,25 @@
 export const fitsRoom = (room: Room, spec: JobSpec): boolean =>
   spec.cpus <= room.cpus + 1e-6 && spec.gpus <= room.gpus + 1e-6 && spec.memGb <= room.memGb + 1e-6;
 
-/** Whether a machine of this kind may run the job at all. */
-export const allowed = (
-  spec: JobSpec,
-  machine: { type: string; zone: string; spot: boolean },
-): boolean =>
-  (spec.types === null || spec.types.includes(machine.type)) &&
+/** Machines that do not differ in these do not differ for a job, but for their room. */
+export interface MachineKind {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+/** With expressions, it is these that say which types will do. */
+const namesType = ({ types, match }: JobSpec, name: string): boolean =>
+  match !== undefined || types === null || types.includes(name);
+
+/** Whether a machine of this kind may run the job, as far as the job names types, zone and kind. */
+export const allowed = (spec: JobSpec, machine: MachineKind): boolean =>
+  namesType(spec, machine.type) &&
   (spec.zone === null || spec.zone === machine.zone) &&
   (spec.spot || !machine.spot);
 
 export const typeFits = (spec: JobSpec, type: MachineType): boolean =>
-  (spec.types === null || spec.types.includes(type.name)) &&
+  namesType(spec, type.name) &&
   (spec.zone === null || type.zones.length === 0 || type.zones.includes(spec.zone)) &&
   spec.cpus <= type.cpus &&
   spec.gpus <= type.gpus &&
--- /dev/null
+++ b/src/workers/places.ts
@@ -0,0 +1,44 @@
+import type { Matching } from "../extension/index.js";
+import type { JobSpec } from "../wire/jobs.js";
+import { allowed, type MachineKind, type Room } from "./machine.js";
+
+/**
+ * Where tasks may start: the one question that is asked when a task is placed, when room is made
+ * for it, when a chunk is handed on, and for what is rented. Without the package that reads them,
+ * jobs with expressions may start nowhere.
+ */
+export class Places {
+  constructor(readonly matching: Matching | null) {}
+
+  /** `room` is what is free there; null for a machine with nothing on it. */
+  may(spec: JobSpec, on: MachineKind, room: Room | null = null): boolean {
+    if (!allowed(spec, on)) return false;
+    return spec.match === undefined || this.#rank(spec, on, room) !== null;
+  }
+
+  /** How much a job prefers a machine on which it may start: more is better, 0 without a wish. */
+  rank(spec: JobSpec, on: MachineKind, room: Room): number {
+    return spec.match === undefined ? 0 : (this.#rank(spec, on, room) ?? 0);
+  }
+
+  #rank(spec: JobSpec, on: MachineKind, room: Room | null): number | null {
+    return this.matching?.rank(spec, on, room) ?? null;
+  }
+
+  /**
+   * Whether a job cannot start anywhere for the time being, whatever room there is: it is held, or
+   * no machine would match. It then wants no room, no quota and no machines.
+   */
+  idle(id: string, spec: JobSpec): boolean {
+    return spec.match !== undefined && this.matching?.idle(id, spec) !== false;
+  }
+
+  /**
+   * The same text for jobs that all machines answer alike, as far as expressions go; null when the
+   * answer changes with a machine's room or with time.
+   */
+  like({ match }: JobSpec): string | null {
+    if (match === undefined) return "";
+    return this.matching?.like(match) ?? null;
+  }
+}
--- a/test/market-day.test.ts
+++ b/test/market-day.test.ts
@@ -122,6 +122,7 @@
     kept: () => 16,
     wanted: () => [],
     valid: () => true,
+    suits: () => false,
   });
   // One summary, and no newer one: all ten are idle in it for good.
   summaries.offer(0, {
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -12,6 +12,7 @@
 import type { Change, Condition, Row } from "../src/state/store.js";
 import type { JobSpec } from "../src/wire/jobs.js";
 import type { Command, Report } from "../src/wire/workers.js";
+import { Places } from "../src/workers/places.js";
 import { FakeClock } from "./support/clock.js";
 import { bodyOf, LIMITS, quiet } from "./support/common.js";
 import { Random } from "./support/random.js";
@@ -82,6 +83,7 @@
         clock: this.clock,
         log: quiet,
         valid: () => true,
+        places: new Places(null),
         types: () => new Map([["m4", { name: "m4", ...type }]]),
         newTree: () => {
           this.passes++;
