--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -1,6 +1,5 @@
 import { type Clock, sleep, systemClock } from "../clock.js";
-import { type Answer, type Caller, HttpClient, NoAnswer } from "../http/client.js";
-import { isMap } from "../wire/cbor.js";
+import { type Caller, HttpClient, NoAnswer } from "../http/client.js";
 import {
   cancelPath,
   type JobStatus,
@@ -9,6 +8,9 @@
   parseStatus,
   statusPath,
 } from "../wire/jobs.js";
+import { askUntilFinal, PATIENCE_MS, RequestRefused, Unanswered } from "./retry.js";
+
+export { RequestRefused, Unanswered } from "./retry.js";
 
 export interface JobView {
   id: string;
@@ -17,15 +19,6 @@
   running?: number;
 }
 
-/** The answer is final, and it is no. */
-export class RequestRefused extends Error {}
-/** Nobody answered, or nobody could, in the time that PROTOCOL gives a request. */
-export class Unanswered extends Error {}
-
-const PATIENCE_MS = 60_000;
-const MOST_RETRY_S = 30;
-const FINAL = new Set([400, 404, 405, 413, 422]);
-
 /** What a user does: submit, show, watch and withdraw jobs, with the retries of PROTOCOL. */
 export class JobClient {
   readonly #caller: Caller;
@@ -80,29 +73,9 @@
     if (this.#caller instanceof HttpClient) this.#caller.close();
   }
 
-  async #ask(method: string, path: string, body: unknown, timeoutMs: number): Promise<JobView> {
-    const until = this.clock.now() + this.patienceMs;
-    for (;;) {
-      let answer: Answer | null = null;
-      let why = "";
-      try {
-        answer = await this.#caller.call(method, path, body, timeoutMs);
-        why = `status ${answer.status}`;
-      } catch (error) {
-        if (!(error instanceof NoAnswer)) throw error;
-        why = error.message;
-      }
-      const view = answer === null || answer.status >= 300 ? null : parseStatus(answer.body);
-      if (view !== null) return view;
-      const reason = isMap(answer?.body) ? String(answer.body.error ?? "") : "";
-      if (answer !== null && FINAL.has(answer.status)) {
-        throw new RequestRefused(reason === "" ? why : `${reason} (${why})`);
-      }
-      const pause = Math.max(1, Math.min(MOST_RETRY_S, answer?.retryAfterS ?? 0)) * 1000;
-      if (this.clock.now() + pause > until) {
-        throw new Unanswered(reason === "" ? why : `${reason} (${why})`);
-      }
-      await sleep(this.clock, pause);
-    }
+  #ask(method: string, path: string, body: unknown, timeoutMs: number): Promise<JobView> {
+    const { patienceMs } = this;
+    const asking = { method, path, body, timeoutMs, patienceMs };
+    return askUntilFinal(this.#caller, this.clock, asking, parseStatus);
   }
 }
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -1,6 +1,7 @@
 import type { Attachment, Core } from "../extension/index.js";
 import { type Amounts, within } from "../fair/share.js";
 import { type Reply, retryLater } from "../http/server.js";
+import { cancelOnce } from "../jobs/cancelling.js";
 import {
   chunkSizeFor,
   type Header,
@@ -64,7 +65,11 @@
         if (never !== null) {
           // Only a job that was never accepted may be refused.
           const known = await this.#current(id);
-          if (known === null) return { status: never.status, body: { error: never.reason } };
+          if (known === null) {
+            return never.status === 503
+              ? retryLater(503, never.reason)
+              : { status: never.status, body: { error: never.reason } };
+          }
         } else {
           const notNow = this.#notNow(spec);
           if (notNow !== null && (await this.#current(id)) === null) return retryLater(503, notNow);
@@ -206,27 +211,12 @@
       for (let attempt = 0; attempt < 4; attempt++) {
         const known = await this.#current(id);
         if (known === null) return { status: 404, body: { error: "no such job" } };
-        const { header, version } = known;
+        const { header } = known;
         if (header.status !== "open") {
           return { status: 200, body: statusBody(id, header.status) };
         }
         store.writes.force(2);
-        const next: Header = { ...header, status: "cancelled" };
-        const result = await store.transact(
-          [{ key: keys.job(id), version }],
-          [
-            { put: keys.job(id), value: next },
-            // Placements that do not know of it yet depend on this key's former version.
-            { put: keys.cancels, value: id },
-          ],
-        );
-        if (result.ok) {
-          mirror.apply({
-            key: keys.job(id),
-            value: next,
-            version: result.revision,
-            deleted: false,
-          });
+        if (await cancelOnce(store, mirror, id, known)) {
           log.info({ job: id }, "job cancelled");
           return { status: 200, body: statusBody(id, "cancelled") };
         }
--- /dev/null
+++ b/src/jobs/cancelling.ts
@@ -0,0 +1,28 @@
+import { keys } from "../state/keys.js";
+import type { Mirror } from "../state/mirror.js";
+import type { Store } from "../state/store.js";
+import type { Header } from "./header.js";
+
+/**
+ * Cancels an open job whose header was read at a version; false when it has changed since. After
+ * an error it may have come to pass all the same: read the header again before going on.
+ */
+export async function cancelOnce(
+  store: Store,
+  mirror: Mirror,
+  id: string,
+  { header, version }: { header: Header; version: number },
+): Promise<boolean> {
+  const next: Header = { ...header, status: "cancelled" };
+  const result = await store.transact(
+    [{ key: keys.job(id), version }],
+    [
+      { put: keys.job(id), value: next },
+      // Placements that do not know of it yet depend on this key's former version.
+      { put: keys.cancels, value: id },
+    ],
+  );
+  if (!result.ok) return false;
+  mirror.apply({ key: keys.job(id), value: next, version: result.revision, deleted: false });
+  return true;
+}
--- a/src/local/worker.ts
+++ b/src/local/worker.ts
@@ -20,6 +20,9 @@
   stashS: number;
   /** What a task runs instead of waiting for `expectS`; only where commands are allowed. */
   command?: string[];
+  /** Of a submit file: `$(ProcId)` in the command stands for this number and the task's. */
+  firstProc?: number;
+  environment?: Record<string, string>;
 }
 
 /** What became of one task, for whoever watches the platform. */
@@ -271,8 +274,12 @@
     };
     if (saved === "done") done();
     else if (options.commands && job.command !== undefined && job.command.length > 0) {
-      const [program, ...args] = job.command;
-      const child = spawn(program!, args, { stdio: "ignore", env: { PIECE: piece } });
+      const proc = (job.firstProc ?? 0) + Number(piece.slice(piece.lastIndexOf("/") + 1));
+      const filled = (text: string): string => text.replaceAll("$(ProcId)", String(proc));
+      const [program, ...args] = job.command.map(filled);
+      const env: NodeJS.ProcessEnv = { PIECE: piece };
+      for (const [name, text] of Object.entries(job.environment ?? {})) env[name] = filled(text);
+      const child = spawn(program!, args, { stdio: "ignore", env });
       task.child = child;
       child.once("error", () => this.#end(task, "error"));
       child.once("exit", (code) => (code === 0 ? done() : this.#end(task, "error")));
--- a/src/main.ts
+++ b/src/main.ts
@@ -14,6 +14,7 @@
   Unanswered,
 } from "./index.js";
 import type { LocalOptions } from "./local/index.js";
+import type { SubmitFileOptions } from "./submit/index.js";
 
 const VERSION = "0.1.0";
 
@@ -111,11 +112,32 @@
     .requiredOption("--node <host:port>", "a controller")
     .option("--json", "print JSON");
 
-client("submit", "submit a job")
-  .argument("<file>", "the job as JSON, with the fields of POST /api/jobs; - for standard input")
-  .action((file: string, options: ClientOptions) =>
-    ask(options, (jobs) => jobs.submit(readJob(file))),
-  );
+/** A job as JSON is an object; anything else is a submit file. */
+const isJob = (file: string): boolean =>
+  file === "-" || /^\s*\{/.test(readFileSync(file, "utf8").replace(/^\ufeff/, ""));
+
+program
+  .command("submit")
+  .description("submit a job, or an HTCondor submit file")
+  .argument("<file>", "a submit file; or a job as JSON (- for standard input)")
+  .option("--node <host:port>", "a controller")
+  .option("--json", "print JSON")
+  .option("--dry-run", "print the jobs that a submit file asks for, and submit nothing")
+  .option("--team <team>", "the team of jobs without accounting_group")
+  .option("--user <name>", "who is shown as the owner")
+  .option("--env <names...>", "variables of the environment that $ENV may read")
+  .option("--time-zone <zone>", "for cron_*, such as Europe/Athens")
+  .option("--name <name>", "the name of the hand-in: under one name, it is taken once")
+  .action(async (file: string, options: SubmitFileOptions) => {
+    const { node } = options;
+    if (!isJob(file)) {
+      const { submitFile } = await import("./submit/index.js");
+      return submitFile(file, options);
+    }
+    if (node === undefined)
+      return program.error("error: give --node <host:port>", { exitCode: USAGE });
+    return ask({ ...options, node }, (jobs) => jobs.submit(readJob(file)));
+  });
 client("show", "show how far a job is")
   .argument("<id>")
   .action((id: string, options: ClientOptions) => ask(options, (jobs) => jobs.show(id)));
@@ -156,6 +178,27 @@
     await marketCommands(program).parseAsync(words, { from: "user" });
   });
 
+for (const [name, description] of [
+  ["q", "show clusters of submit files in the queue, or the jobs of some"],
+  ["history", "show clusters that are over"],
+  ["rm", "remove clusters, or jobs of them"],
+  ["hold", "hold clusters, or jobs of them"],
+  ["release", "release held clusters, or jobs of them"],
+  ["analyze", "show why a job does, or does not, match machines"],
+] as const) {
+  program
+    .command(name)
+    .description(`${description}; see ${name} --help`)
+    .argument("[words...]")
+    .helpOption(false)
+    .allowUnknownOption()
+    .action(async (words: string[]) => {
+      const { submitCommands } = await import("./submit/index.js");
+      const commands = submitCommands(new Command("birchdale").copyInheritedSettings(program));
+      await commands.parseAsync([name, ...words], { from: "user" });
+    });
+}
+
 program
   .command("local")
   .description("run a whole platform on this machine: state service, cloud, workers, controllers")
--- a/src/market/client.ts
+++ b/src/market/client.ts
@@ -1,7 +1,6 @@
-import { RequestRefused, Unanswered } from "../client/client.js";
-import { type Clock, sleep, systemClock } from "../clock.js";
-import { type Answer, type Caller, HttpClient, NoAnswer } from "../http/client.js";
-import { isMap } from "../wire/cbor.js";
+import { askUntilFinal, PATIENCE_MS } from "../client/retry.js";
+import { type Clock, systemClock } from "../clock.js";
+import { type Caller, HttpClient } from "../http/client.js";
 import type { RoundNote } from "./records.js";
 
 export interface BidView {
@@ -46,8 +45,6 @@
   rounds: RoundNote[];
 }
 
-const PATIENCE_MS = 60_000;
-
 /** What guests and operators do with the market of a controller. */
 export class MarketClient {
   readonly #caller: Caller;
@@ -101,28 +98,9 @@
     if (this.#caller instanceof HttpClient) this.#caller.close();
   }
 
-  /** Asks again as `Retry-After` says while the answer is not final: every request may be repeated. */
-  async #ask<T>(method: string, where: string, body?: unknown): Promise<T> {
-    const until = this.clock.now() + this.patienceMs;
-    for (;;) {
-      let answer: Answer | null = null;
-      let why = "";
-      try {
-        answer = await this.#caller.call(method, where, body, 5000);
-        const said = isMap(answer.body) ? String(answer.body.error ?? "") : "";
-        why = said === "" ? `status ${answer.status}` : `${said} (status ${answer.status})`;
-      } catch (error) {
-        if (!(error instanceof NoAnswer)) throw error;
-        why = error.message;
-      }
-      if (answer !== null && answer.status < 300) return answer.body as T;
-      if (answer !== null && answer.status < 500 && answer.status !== 429) {
-        throw new RequestRefused(why);
-      }
-      const pause = Math.max(1, Math.min(30, answer?.retryAfterS ?? 0)) * 1000;
-      if (this.clock.now() + pause > until) throw new Unanswered(why);
-      await sleep(this.clock, pause);
-    }
+  #ask<T>(method: string, where: string, body?: unknown): Promise<T> {
+    const asking = { method, path: where, body, patienceMs: this.patienceMs };
+    return askUntilFinal(this.#caller, this.clock, asking, (answer) => answer as T);
   }
 }
 
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -32,6 +32,9 @@
   | { kind: "settled"; outcome: Outcome }
   | { kind: "stop" };
 
+/** Jobs whose progress is told: what a frame holds, and more than anybody looks at. */
+const MOST_TOLD = 2000;
+
 /** What an earlier owner, or the part that a chunk came from, has left of it. */
 interface Kept {
   state: ChunkState;
@@ -313,7 +316,7 @@
     if (now - this.#sentAt >= (changed ? reportMs / 4 : reportMs)) {
       this.#sentAt = now;
       this.#lastState = state;
-      this.ctx.announce(this.summary());
+      this.ctx.announce(this.summary(true));
     }
     // The store gets one every 5 s (DESIGN): for whoever is cut off from us, and the next leader.
     if (now - this.#summaryAt < 5000 || !store.writes.take(1, 2)) return;
@@ -326,7 +329,8 @@
       .catch(() => undefined);
   }
 
-  summary(): Summary {
+  /** `progress` is for those who are told at once: a record of the store has no room for it. */
+  summary(progress = false): Summary {
     const now = this.ctx.clock.now();
     const pairs = (map: ReadonlyMap<string, Amounts>): Record<string, [number, number]> =>
       Object.fromEntries([...map].map(([team, a]) => [team, [a.cpus, a.gpus]]));
@@ -365,7 +369,9 @@
       else if (machine.live.size === 0)
         idle[machine.id] = Math.round((now - machine.idleSince) / 1000);
     }
+    const picky = progress && places.matching !== null ? this.#progress() : [];
     return {
+      ...(picky.length === 0 ? {} : { progress: picky }),
       ...(rules === null
         ? {}
         : { rooms: roomsOf(machines, this.ctx), starved: Math.round(this.#starved) }),
@@ -386,4 +392,16 @@
       seq: ++this.#summaries,
     };
   }
+
+  /** How far jobs with expressions are, for whoever asks any controller. */
+  #progress(): [string, number, number][] {
+    const out: [string, number, number][] = [];
+    for (const { id, spec, placed, chunks } of this.jobs.values()) {
+      if (spec.match === undefined || out.length >= MOST_TOLD) continue;
+      let done = 0;
+      for (const { doneCount } of chunks.values()) done += doneCount;
+      if (placed + done > 0) out.push([id, placed, done]);
+    }
+    return out;
+  }
 }
--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -2,7 +2,15 @@
 import type { Chunk } from "../jobs/chunk.js";
 import type { MachineType } from "../wire/cloud.js";
 import type { JobSpec } from "../wire/jobs.js";
-import { fitsRoom, give, type Machine, unreserved, zoneAllowed } from "../workers/machine.js";
+import {
+  allowed,
+  fitsRoom,
+  give,
+  type Machine,
+  type Room,
+  unreserved,
+  zoneAllowed,
+} from "../workers/machine.js";
 import type { PartContext } from "./context.js";
 import { byUrgency, type Job } from "./job.js";
 import type { Ledger } from "./ledger.js";
@@ -170,9 +178,10 @@
     return machines
       .map((machine) => {
         const room = machine.room(types.get(machine.type));
-        return { machine, rank: this.ctx.places.rank(spec, machine, room) };
+        const rank = this.ctx.places.rank(spec, machine, room);
+        return { machine, rank: rank ?? Number.NEGATIVE_INFINITY };
       })
-      .sort((a, b) => b.rank - a.rank)
+      .sort((a, b) => (a.rank === b.rank ? 0 : b.rank - a.rank))
       .map(({ machine }) => machine);
   }
 
@@ -211,16 +220,16 @@
     const { spec } = job;
     if (this.#last?.job !== job || spec.oneZone || spec.spread) return null;
     // What changes with a machine's room has to be asked anew of all machines.
-    if (this.ctx.places.like(spec) === null) return null;
+    if (spec.match !== undefined && this.ctx.places.like(spec) === null) return null;
     const { machine } = this.#last;
     const room = unreserved(machine.room(types.get(machine.type)), machine, job.id);
     return fitsRoom(room, spec) ? machine : null;
   }
 
-  #best(job: Job, { machines, types, now, guaranteed }: Pass): Machine | null {
+  #best(job: Job, pass: Pass): Machine | null {
     const { spec } = job;
-    const { places } = this.ctx;
-    const like = places.like(spec);
+    const { machines, guaranteed } = pass;
+    const like = this.ctx.places.like(spec);
     const shape = shapeOf(spec, like);
     const plain = like !== null && !spec.oneZone && !spec.spread && job.failures === 0;
     if (plain && this.#hopeless.has(shape)) {
@@ -228,39 +237,89 @@
     }
     const entitled = guaranteed.has(job.id);
     const zones = spec.oneZone || spec.spread ? this.#zones(job) : null;
+    const best =
+      spec.match === undefined
+        ? this.#cheapest(job, pass, zones, entitled)
+        : this.#preferred(job, pass, zones, entitled);
+    if (best === null && plain) this.#hopeless.add(shape);
+    return best;
+  }
+
+  #cheapest(
+    job: Job,
+    { machines, types, now }: Pass,
+    zones: Map<string, number> | null,
+    entitled: boolean,
+  ): Machine | null {
+    const { spec } = job;
+    let best: Machine | null = null;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const machine of machines) {
+      const free = machine.room(types.get(machine.type));
+      if (!fitsRoom(free, spec)) continue;
+      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
+      const room = unreserved(free, machine, job.id);
+      if (room !== free && !fitsRoom(room, spec)) continue;
+      if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
+      const cost = this.#cost(job, machine, room, entitled, now);
+      if (cost < bestCost) {
+        best = machine;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** For a job with expressions: what it ranks highest, and among equals what is best for all. */
+  #preferred(
+    job: Job,
+    { machines, types, now }: Pass,
+    zones: Map<string, number> | null,
+    entitled: boolean,
+  ): Machine | null {
+    const { spec } = job;
+    const { places } = this.ctx;
     let best: Machine | null = null;
     let bestCost = Number.POSITIVE_INFINITY;
     let bestRank = Number.NEGATIVE_INFINITY;
     for (const machine of machines) {
       const free = machine.room(types.get(machine.type));
       if (!fitsRoom(free, spec)) continue;
-      if (machine.failedJobs.has(job.id)) continue;
+      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
       const room = unreserved(free, machine, job.id);
       if (room !== free && !fitsRoom(room, spec)) continue;
-      if (!places.may(spec, machine, room)) continue;
       if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
-      // The fullest cheap machine that has the image: keeps others free, to be used whole or
-      // returned, the dear ones first.
-      const cost =
-        room.cpus +
-        (machine.reserved.has(job.id) ? -10_000 : 0) +
-        // Starts travel in answers to reports: what must not wait goes where one is due.
-        (entitled ? 100 * (1 - Math.min(1, (now - machine.lastSeen) / this.ctx.reportMs)) : 0) +
-        (machine.spot ? 0 : 1000) +
-        (spec.image === null || machine.images.has(spec.image) ? 0 : 2000);
+      const wish = places.rank(spec, machine, room);
+      if (wish === null) continue;
       // Room that others made for this job comes first: what was stopped for it must be of use.
-      const rank = machine.reserved.has(job.id)
-        ? Number.POSITIVE_INFINITY
-        : places.rank(spec, machine, room);
-      if (rank > bestRank || (rank === bestRank && cost < bestCost)) {
+      const rank = machine.reserved.has(job.id) ? Number.POSITIVE_INFINITY : wish;
+      if (rank < bestRank) continue;
+      const cost = this.#cost(job, machine, room, entitled, now);
+      // The first of them, where all else is equal.
+      if (rank > bestRank || cost < bestCost) {
         best = machine;
         bestCost = cost;
         bestRank = rank;
       }
     }
-    if (best === null && plain) this.#hopeless.add(shape);
     return best;
   }
+
+  /**
+   * The fullest cheap machine that has the image: keeps others free, to be used whole or returned,
+   * the dear ones first.
+   */
+  #cost(job: Job, machine: Machine, room: Room, entitled: boolean, now: number): number {
+    const { image } = job.spec;
+    return (
+      room.cpus +
+      (machine.reserved.has(job.id) ? -10_000 : 0) +
+      // Starts travel in answers to reports: what must not wait goes where one is due.
+      (entitled ? 100 * (1 - Math.min(1, (now - machine.lastSeen) / this.ctx.reportMs)) : 0) +
+      (machine.spot ? 0 : 1000) +
+      (image === null || machine.images.has(image) ? 0 : 2000)
+    );
+  }
 }
 
 const shapeOf = ({ cpus, gpus, memGb, spot, types, zone }: JobSpec, like: string | null): string =>
--- a/src/part/preempting.ts
+++ b/src/part/preempting.ts
@@ -263,7 +263,8 @@
     const { places } = this.ctx;
     // Nothing is stopped for room that the job's requirements, as they will be then, rule out.
     const takes = (machine: Machine, room: Room): boolean =>
-      fitsRoom(room, spec) && places.may(spec, machine, room);
+      fitsRoom(room, spec) &&
+      (spec.match === undefined || places.rank(spec, machine, room) !== null);
     for (const machine of machines) {
       if (machine.failedJobs.has(job.id) || !allowed(spec, machine)) continue;
       const room = this.#rooms.get(machine)!;
@@ -278,7 +279,8 @@
       };
       for (const victim of here) freed(victim, 1);
       if (!fitsRoom(after, spec)) continue;
-      if (places.like(spec) !== null && !places.may(spec, machine, after)) continue;
+      if (spec.match !== undefined && places.like(spec) !== null && !takes(machine, after))
+        continue;
       const picks = chooseVictims(
         tree,
         asker,
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -26,6 +26,8 @@
   token: number;
   /** Counts the summaries of one owner. */
   seq: number;
+  /** Jobs with expressions, with tasks placed and done here; told to the others, not stored. */
+  progress?: [job: string, placed: number, done: number][];
 }
 
 /** Machines of one zone with the same free room, and how many there are. */
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -14,7 +14,7 @@
 const KIND_SUMMARY = 2;
 /** A summary with free room machine by machine; who does not know it reads the store's. */
 const KIND_ROOMS = 3;
-/** A summary with needs of jobs that have expressions, and free room if there is any. */
+/** A summary with needs and progress of jobs with expressions, and free room if there is any. */
 const KIND_JOBS = 4;
 
 export type Frame =
@@ -172,7 +172,7 @@
   }
   const { part, summary } = frame;
   // A kind that an older version does not know is left out there, and the store's is read.
-  const jobs = summary.need.some(({ job }) => job !== undefined);
+  const jobs = summary.progress !== undefined || summary.need.some(({ job }) => job !== undefined);
   out.u8(jobs ? KIND_JOBS : summary.rooms === undefined ? KIND_SUMMARY : KIND_ROOMS);
   out.u32(part);
   out.f64(summary.token);
@@ -202,7 +202,14 @@
     out.text(id);
     out.f64(seconds);
   });
-  if (jobs) out.u8(summary.rooms === undefined ? 0 : 1);
+  if (jobs) {
+    out.u8(summary.rooms === undefined ? 0 : 1);
+    out.list(summary.progress ?? [], ([job, placed, done]) => {
+      out.text(job);
+      out.u32(placed);
+      out.u32(done);
+    });
+  }
   if (summary.rooms !== undefined) {
     out.f64(summary.starved ?? 0);
     out.list(summary.rooms, ({ zone, cpus, gpus, memGb, count }) => {
@@ -255,6 +262,10 @@
   const retired = from.list(() => from.text());
   const idle = Object.fromEntries(from.list((): [string, number] => [from.text(), from.f64()]));
   const rooms = kind === KIND_JOBS ? from.u8() === 1 : kind === KIND_ROOMS;
+  const told =
+    kind === KIND_JOBS
+      ? from.list((): [string, number, number] => [from.text(), from.u32(), from.u32()])
+      : [];
   const more = !rooms
     ? {}
     : {
@@ -273,6 +284,7 @@
     part,
     summary: {
       ...more,
+      ...(told.length === 0 ? {} : { progress: told }),
       token,
       seq,
       kinds,
--- a/src/settings/operators.ts
+++ b/src/settings/operators.ts
@@ -23,6 +23,7 @@
  */
 const PACKAGES: Record<string, () => Promise<{ door: PackageDoor }>> = {
   market: () => import("../market/index.js"),
+  submit: () => import("../submit/index.js"),
 };
 
 /** All that the operators' own files say. */
--- /dev/null
+++ b/src/submit/file/text.ts
@@ -0,0 +1,121 @@
+/** A place in a file that was read. Lines and columns count from 1. */
+export interface Place {
+  file: string;
+  line: number;
+  column: number;
+}
+
+/** A submit file that is refused: where, why, and what to write instead. Nothing was submitted. */
+export class SubmitError extends Error {
+  constructor(
+    readonly reason: string,
+    readonly place: Place,
+    readonly hint: string | null = null,
+  ) {
+    super(
+      `${place.file}:${place.line}:${place.column}: ${reason}${hint === null ? "" : `; ${hint}`}`,
+    );
+  }
+}
+
+/** A line as the language sees it: with the lines that continue it. */
+export interface Line {
+  text: string;
+  /** Where a character of `text` stands. */
+  at(offset: number): Place;
+}
+
+/** @throws SubmitError at the first byte that is not UTF-8 */
+export function decodeText(bytes: Uint8Array, file: string): string {
+  try {
+    // A byte order mark at the beginning is left out.
+    return new TextDecoder("utf-8", { fatal: true }).decode(bytes);
+  } catch {
+    throw new SubmitError("not UTF-8", badByte(bytes, file), "save the file as UTF-8");
+  }
+}
+
+/** The first character that a strict decoder finds fault with. */
+function badByte(bytes: Uint8Array, file: string): Place {
+  const decoder = new TextDecoder("utf-8", { fatal: true });
+  let line = 1;
+  let start = 0;
+  for (let end = 0; end <= bytes.length; end++) {
+    if (end < bytes.length && bytes[end] !== 10) continue;
+    const row = bytes.subarray(start, end);
+    try {
+      decoder.decode(row);
+    } catch {
+      const good = new TextDecoder().decode(row).indexOf("\ufffd");
+      return { file, line, column: Math.max(0, good) + 1 };
+    }
+    line++;
+    start = end + 1;
+  }
+  return { file, line, column: 1 };
+}
+
+/**
+ * The lines of a file: ends of lines as on any system, lines that end in `\` joined with the next.
+ * Empty lines and comments are left out; a comment inside a continued line as well.
+ */
+export function linesOf(text: string, file: string): Line[] {
+  const rows = text.split(/\r\n|\n|\r/);
+  const lines: Line[] = [];
+  for (let i = 0; i < rows.length; i++) {
+    if (/^\s*(#|$)/.test(rows[i]!)) continue;
+    const pieces: { from: number; line: number }[] = [];
+    let joined = "";
+    for (;;) {
+      const row = rows[i]!;
+      const comment = pieces.length > 0 && /^\s*#/.test(row);
+      const goes = !comment && /\\[ \t]*$/.test(row);
+      if (!comment) {
+        pieces.push({ from: joined.length, line: i + 1 });
+        joined += goes ? row.replace(/\\[ \t]*$/, "") : row;
+      }
+      if ((!goes && !comment) || i + 1 >= rows.length) break;
+      i++;
+    }
+    lines.push({
+      text: joined,
+      at: (offset) => {
+        const piece = pieces.filter(({ from }) => from <= offset).at(-1) ?? pieces[0]!;
+        return { file, line: piece.line, column: offset - piece.from + 1 };
+      },
+    });
+  }
+  return lines;
+}
+
+/** How far two words are apart: letters to add, leave out, change, or swap with the next. */
+export function distance(a: string, b: string): number {
+  const rows: number[][] = [Array.from({ length: b.length + 1 }, (_, j) => j)];
+  for (let i = 1; i <= a.length; i++) {
+    const row = [i];
+    for (let j = 1; j <= b.length; j++) {
+      const same = a[i - 1] === b[j - 1] ? 0 : 1;
+      let best = Math.min(rows[i - 1]![j]! + 1, row[j - 1]! + 1, rows[i - 1]![j - 1]! + same);
+      if (i > 1 && j > 1 && a[i - 1] === b[j - 2] && a[i - 2] === b[j - 1]) {
+        best = Math.min(best, rows[i - 2]![j - 2]! + 1);
+      }
+      row.push(best);
+    }
+    rows.push(row);
+  }
+  return rows[a.length]![b.length]!;
+}
+
+/** The word that was probably meant, or null. */
+export function nearest(word: string, words: Iterable<string>): string | null {
+  let best: string | null = null;
+  let least = Math.max(1, Math.floor(word.length / 3)) + 1;
+  for (const one of words) {
+    const far = distance(word, one);
+    if (far < least) {
+      best = one;
+      least = far;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/submit/site/book.ts
@@ -0,0 +1,60 @@
+import type { Core } from "../../extension/index.js";
+import { type Header, isHeader } from "../../jobs/header.js";
+import { keys as coreKeys } from "../../state/keys.js";
+import { type ClusterRecord, isCluster, keys } from "./records.js";
+
+export interface Versioned<T> {
+  value: T;
+  version: number;
+}
+
+/** What can be seen of one job of a cluster. */
+export interface JobState {
+  index: number;
+  id: string;
+  header: Header | null;
+}
+
+/** All clusters, as the watch tells of them; nothing else writes here. */
+export class Book {
+  readonly clusters = new Map<number, Versioned<ClusterRecord>>();
+  readonly #byName = new Map<string, number>();
+
+  constructor(readonly core: Core) {
+    core.mirror.on(keys.clusters, ({ key, value, version }) => {
+      const id = Number(key.slice(keys.clusters.length));
+      if (isCluster(value)) {
+        this.clusters.set(id, { value, version });
+        this.#byName.set(value.name, id);
+        return;
+      }
+      const known = this.clusters.get(id);
+      if (known !== undefined) this.#byName.delete(known.value.name);
+      this.clusters.delete(id);
+    });
+  }
+
+  byName(name: string): number | null {
+    return this.#byName.get(name) ?? null;
+  }
+
+  /** A job's header, as far as this controller has heard. */
+  header(id: string): Header | null {
+    const row = this.core.mirror.rows.get(coreKeys.job(id));
+    return row !== undefined && isHeader(row.value) ? row.value : null;
+  }
+
+  jobs(cluster: number, record: ClusterRecord): JobState[] {
+    return Array.from({ length: record.jobs }, (_, index) => {
+      const id = `wk-c${cluster}.${index}`;
+      return { index, id, header: this.header(id) };
+    });
+  }
+}
+
+/** Whether nothing of a cluster can run any more. */
+export const isOver = (record: ClusterRecord, jobs: readonly JobState[]): boolean =>
+  record.state !== "open" &&
+  jobs.every(({ header }) =>
+    header === null ? record.state === "removed" : header.status !== "open",
+  );
--- /dev/null
+++ b/src/submit/user/client.ts
@@ -0,0 +1,164 @@
+import { JobClient } from "../../client/client.js";
+import { askUntilFinal, PATIENCE_MS, RequestRefused } from "../../client/retry.js";
+import { type Clock, systemClock } from "../../clock.js";
+import { type Caller, HttpClient } from "../../http/client.js";
+import { bodiesOf, type Cluster } from "../map/cluster.js";
+import type { Analysis } from "../site/analyze.js";
+import type { Counts, JobView } from "../site/views.js";
+
+export interface ClusterView extends Counts {
+  cluster: number;
+  team: string;
+  user: string;
+  title: string | null;
+  at: number;
+  procs: number;
+  state: "open" | "in" | "removed";
+  over: number | null;
+}
+
+export interface ClusterJobs {
+  cluster: number;
+  team: string;
+  user: string;
+  at: number;
+  jobs: JobView[];
+}
+
+export interface AnalysisView extends Analysis {
+  job: string;
+  status: string;
+  started: boolean;
+  held: string | null;
+  handedIn: boolean;
+  waits: number | null;
+}
+
+/** What partners do with clusters. Every request may be repeated, and is until it is answered. */
+export class SubmitClient {
+  readonly #caller: Caller;
+  readonly #jobs: JobClient;
+
+  constructor(
+    address: string,
+    readonly clock: Clock = systemClock,
+    caller?: Caller,
+    readonly patienceMs = PATIENCE_MS,
+  ) {
+    this.#caller = caller ?? new HttpClient(address, 1, clock);
+    this.#jobs = new JobClient(address, clock, this.#caller, patienceMs);
+  }
+
+  /** The cluster's number, the same for every try under one name. */
+  async open(
+    name: string,
+    user: string,
+    cluster: Cluster,
+  ): Promise<{ cluster: number; state: string }> {
+    const { team, procs, most, held, name: title, jobs } = cluster;
+    const body = { name, team, user, title, jobs: jobs.length, procs, most, held };
+    return this.#ask("POST", "/submit/clusters", body);
+  }
+
+  /**
+   * Hands a cluster in: its number, then its jobs, of which nothing may start, then the one write
+   * that takes it as a whole. After an error the same name may be handed in again; what has been
+   * taken already is not taken twice.
+   * `plan` is asked for the cluster once its number is known, since a file may contain it.
+   */
+  async submit(
+    name: string,
+    user: string,
+    first: Cluster,
+    plan: (id: number) => Cluster,
+  ): Promise<{ cluster: number; taken: Cluster }> {
+    const { cluster: id, state } = await this.open(name, user, first);
+    const cluster = plan(id);
+    if (state === "removed") throw new RequestRefused(`cluster ${id} was given up, or removed`);
+    if (state === "in") return { cluster: id, taken: cluster };
+    if (cluster.jobs.length !== first.jobs.length || cluster.procs !== first.procs) {
+      await this.remove(id, null).catch(() => undefined);
+      throw new RequestRefused("which procs there are must not depend on $(ClusterId)");
+    }
+    try {
+      for (const body of bodiesOf(cluster, id)) await this.#jobs.submit(body);
+    } catch (error) {
+      // One job that can never run: nothing of the cluster shall. The sender is told why.
+      if (error instanceof RequestRefused) await this.remove(id, null).catch(() => undefined);
+      throw error;
+    }
+    await this.#ask("POST", `/submit/clusters/${id}/commit`);
+    return { cluster: id, taken: cluster };
+  }
+
+  remove(cluster: number, jobs: readonly number[] | null): Promise<unknown> {
+    return this.#ask("POST", `/submit/clusters/${cluster}/remove`, { jobs });
+  }
+
+  hold(cluster: number, jobs: readonly number[] | null, reason: string): Promise<unknown> {
+    return this.#ask("POST", `/submit/clusters/${cluster}/hold`, { jobs, reason });
+  }
+
+  release(cluster: number, jobs: readonly number[] | null): Promise<unknown> {
+    return this.#ask("POST", `/submit/clusters/${cluster}/release`, { jobs });
+  }
+
+  queue(team: string | null): Promise<ClusterView[]> {
+    return this.#pages<ClusterView>(
+      "clusters",
+      (after) => `/submit/queue/${teamOf(team)}/${after ?? 0}`,
+    );
+  }
+
+  /** The newest first; `most` of them. */
+  async history(team: string | null, most: number): Promise<ClusterView[]> {
+    const found = await this.#pages<ClusterView>(
+      "clusters",
+      (after) => `/submit/history/${teamOf(team)}${after === null ? "" : `/${after}`}`,
+      most,
+    );
+    return found.slice(0, most);
+  }
+
+  async jobs(cluster: number): Promise<ClusterJobs> {
+    const first = await this.#ask<ClusterJobs>("GET", `/submit/clusters/${cluster}/jobs/0`);
+    const jobs = await this.#pages<JobView>(
+      "jobs",
+      (after) => `/submit/clusters/${cluster}/jobs/${after ?? 0}`,
+    );
+    return { ...first, jobs };
+  }
+
+  analyze(job: string): Promise<AnalysisView> {
+    return this.#ask("GET", `/submit/analyze/${encodeURIComponent(job)}`);
+  }
+
+  close(): void {
+    if (this.#caller instanceof HttpClient) this.#caller.close();
+  }
+
+  async #pages<T>(
+    field: string,
+    path: (after: number | null) => string,
+    most = Number.POSITIVE_INFINITY,
+  ): Promise<T[]> {
+    const all: T[] = [];
+    let after: number | null = null;
+    do {
+      const page: { next: number | null; [name: string]: unknown } = await this.#ask(
+        "GET",
+        path(after),
+      );
+      all.push(...(page[field] as T[]));
+      after = page.next;
+    } while (after !== null && all.length < most);
+    return all;
+  }
+
+  #ask<T>(method: string, path: string, body?: unknown): Promise<T> {
+    const asking = { method, path, body, patienceMs: this.patienceMs };
+    return askUntilFinal(this.#caller, this.clock, asking, (answer) => answer as T);
+  }
+}
+
+const teamOf = (team: string | null): string => (team === null ? "*" : encodeURIComponent(team));
--- /dev/null
+++ b/src/submit/user/commands.ts
@@ -0,0 +1,230 @@
+import { userInfo } from "node:os";
+import type { Command } from "commander";
+import { RequestRefused, Unanswered } from "../../client/retry.js";
+import { SubmitError } from "../file/text.js";
+import { realWorld } from "../file/world.js";
+import { bodiesOf, type Cluster, planCluster } from "../map/cluster.js";
+import { placeOf } from "../site/records.js";
+import { SubmitClient } from "./client.js";
+import { analysisText, clusterText, historyText, jobsText, queueText } from "./format.js";
+import { digestOf, pendingOf } from "./pending.js";
+
+export interface SubmitFileOptions {
+  node?: string;
+  json?: boolean;
+  dryRun?: boolean;
+  team?: string;
+  user?: string;
+  env?: string[];
+  timeZone?: string;
+  name?: string;
+}
+
+const write = (text: string): void => {
+  process.stdout.write(text);
+};
+const json = (value: unknown): void => write(`${JSON.stringify(value)}\n`);
+
+const userName = (): string => {
+  try {
+    return userInfo().username;
+  } catch {
+    return "unknown";
+  }
+};
+
+async function within<T>(node: string, run: (client: SubmitClient) => Promise<T>): Promise<T> {
+  const client = new SubmitClient(node);
+  try {
+    return await run(client);
+  } finally {
+    client.close();
+  }
+}
+
+/** Hands a submit file in, or with `dryRun` says what it asks for. @throws SubmitError */
+export async function submitFile(file: string, options: SubmitFileOptions): Promise<void> {
+  const user = options.user ?? userName();
+  const timeZone = options.timeZone ?? Intl.DateTimeFormat().resolvedOptions().timeZone;
+  // One reading of a file that comes by a pipe: it is planned again once the cluster has a number.
+  const world = realWorld(file);
+  const bytes = world.read(file);
+  const startedAt = world.now();
+  let seed = 0;
+  const draws: number[] = [];
+  /** All that the file's meaning comes from: the same at the next try, whatever the time is then. */
+  const seen = new Map<string, unknown>();
+  const once = {
+    ...world,
+    read: (path: string) => {
+      const found = path === file ? bytes : world.read(path);
+      seen.set(path, Buffer.from(found).toString("latin1"));
+      return found;
+    },
+    match: (pattern: string, kind: "files" | "dirs" | "any") => {
+      const found = world.match(pattern, kind);
+      seen.set(`${kind} ${pattern}`, found);
+      return found;
+    },
+    now: () => startedAt,
+    random: () => {
+      draws[seed] ??= world.random();
+      return draws[seed++]!;
+    },
+  };
+  const plan = (cluster: number): Cluster => {
+    seed = 0;
+    return planCluster({
+      file,
+      world: once,
+      cluster,
+      team: options.team ?? null,
+      user,
+      timeZone,
+      environment: options.env ?? [],
+    });
+  };
+  const first = readWhole(() => plan(0));
+  if (options.dryRun === true) {
+    if (options.json === true) json({ ...first, jobs: bodiesOf(first, 0) });
+    else write(clusterText(first));
+    return;
+  }
+  if (options.node === undefined) throw new RequestRefused("give --node <host:port>, or --dry-run");
+  const pending =
+    options.name === undefined
+      ? pendingOf(digestOf(options.node, [[...seen], options.team, user, timeZone]))
+      : { name: options.name, settle: () => undefined };
+  await within(options.node, async (client) => {
+    try {
+      const { cluster, taken } = await client.submit(pending.name, user, first, plan);
+      pending.settle();
+      if (options.json === true) json({ cluster, procs: taken.procs, jobs: taken.jobs.length });
+      else write(`${taken.procs} job(s) submitted to cluster ${cluster}.\n`);
+    } catch (error) {
+      if (error instanceof RequestRefused) pending.settle();
+      if (!(error instanceof Unanswered)) throw error;
+      throw new Unanswered(
+        `${error.message}; handing the same file in again submits nothing twice`,
+      );
+    }
+  });
+}
+
+/** What is wrong with a file is final, and told as such. */
+function readWhole(read: () => Cluster): Cluster {
+  try {
+    return read();
+  } catch (error) {
+    throw error instanceof SubmitError ? new RequestRefused(error.message) : error;
+  }
+}
+
+interface Chosen {
+  cluster: number;
+  jobs: number[] | null;
+}
+
+/** `12`, `12.3` or `wk-c12.3`. */
+export function chosen(text: string): Chosen {
+  const place = placeOf(text) ?? placeOf(`wk-c${text}`);
+  if (place !== null) return { cluster: place.cluster, jobs: [place.index] };
+  if (/^\d{1,15}$/.test(text)) return { cluster: Number(text), jobs: null };
+  throw new RequestRefused(`${text}: a cluster such as 12, or a job of it such as 12.3`);
+}
+
+/** Several jobs of one cluster are one request. */
+function grouped(texts: readonly string[]): Chosen[] {
+  const out = new Map<number, Chosen>();
+  for (const { cluster, jobs } of texts.map(chosen)) {
+    const known = out.get(cluster);
+    if (known === undefined) out.set(cluster, { cluster, jobs });
+    else known.jobs = known.jobs === null || jobs === null ? null : [...known.jobs, ...jobs];
+  }
+  return [...out.values()];
+}
+
+/** The subcommands on clusters: q, history, rm, hold, release, analyze. */
+export function submitCommands(program: Command): Command {
+  const command = (name: string, description: string): Command =>
+    program
+      .command(name)
+      .description(description)
+      .requiredOption("--node <host:port>", "a controller")
+      .option("--json", "print JSON");
+  command("q", "show clusters in the queue, or the jobs of some")
+    .argument("[clusters...]", "cluster numbers")
+    .option("--team <team>", "only this team's")
+    .action(async (ids: string[], { node, json: asJson, team }) =>
+      within(node, async (client) => {
+        if (ids.length === 0) {
+          const clusters = await client.queue(team ?? null);
+          return asJson ? json(clusters) : write(queueText(clusters));
+        }
+        for (const { cluster } of grouped(ids)) {
+          const jobs = await client.jobs(cluster);
+          if (asJson) json(jobs);
+          else write(jobsText(jobs));
+        }
+      }),
+    );
+  command("history", "show clusters that are over, the newest first")
+    .option("--team <team>", "only this team's")
+    .option("--limit <n>", "how many", Number, 50)
+    .action(async ({ node, json: asJson, team, limit }) =>
+      within(node, async (client) => {
+        const clusters = await client.history(team ?? null, limit);
+        return asJson ? json(clusters) : write(historyText(clusters));
+      }),
+    );
+  const change = (
+    name: string,
+    description: string,
+    said: string,
+    run: (client: SubmitClient, one: Chosen, reason: string) => Promise<unknown>,
+  ): Command =>
+    command(name, description)
+      .argument("<jobs...>", "clusters, such as 12, or jobs of them, such as 12.3")
+      .option("--reason <text>", "shown by q", "by the user")
+      .action(async (ids: string[], { node, json: asJson, reason }) =>
+        within(node, async (client) => {
+          for (const one of grouped(ids)) {
+            await run(client, one, reason);
+            const which =
+              one.jobs === null
+                ? `All jobs in cluster ${one.cluster}`
+                : `Job(s) ${one.jobs.map((job) => `${one.cluster}.${job}`).join(", ")}`;
+            if (asJson) json({ ...one, done: name });
+            else write(`${which} ${said}\n`);
+          }
+        }),
+      );
+  change(
+    "rm",
+    "remove clusters or jobs",
+    "have been marked for removal",
+    (client, { cluster, jobs }) => client.remove(cluster, jobs),
+  );
+  change(
+    "hold",
+    "hold clusters or jobs: tasks are stopped, none start",
+    "have been held",
+    (client, { cluster, jobs }, reason) => client.hold(cluster, jobs, reason),
+  );
+  change(
+    "release",
+    "release held clusters or jobs",
+    "have been released",
+    (client, { cluster, jobs }) => client.release(cluster, jobs),
+  );
+  command("analyze", "show why a job does, or does not, match machines")
+    .argument("<job>", "a job, such as 12.0")
+    .action(async (id: string, { node, json: asJson }) =>
+      within(node, async (client) => {
+        const { cluster, jobs } = chosen(id);
+        const found = await client.analyze(`wk-c${cluster}.${jobs?.[0] ?? 0}`);
+        return asJson ? json(found) : write(analysisText(found));
+      }),
+    );
+  return program;
+}
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -13,6 +13,7 @@
   type = "";
   zone = "";
   spot = false;
+  slot: object | null = null;
   address = "";
   session = 0;
   seq = -1;
@@ -84,20 +85,19 @@
   type: string;
   zone: string;
   spot: boolean;
+  /** What a package has found out about its kind, kept where it is asked for most. */
+  slot?: object | null;
 }
 
-/** With expressions, it is these that say which types will do. */
-const namesType = ({ types, match }: JobSpec, name: string): boolean =>
-  match !== undefined || types === null || types.includes(name);
-
 /** Whether a machine of this kind may run the job, as far as the job names types, zone and kind. */
 export const allowed = (spec: JobSpec, machine: MachineKind): boolean =>
-  namesType(spec, machine.type) &&
+  // With expressions, it is these that say which types will do.
+  (spec.match !== undefined || spec.types === null || spec.types.includes(machine.type)) &&
   (spec.zone === null || spec.zone === machine.zone) &&
   (spec.spot || !machine.spot);
 
 export const typeFits = (spec: JobSpec, type: MachineType): boolean =>
-  namesType(spec, type.name) &&
+  (spec.match !== undefined || spec.types === null || spec.types.includes(type.name)) &&
   (spec.zone === null || type.zones.length === 0 || type.zones.includes(spec.zone)) &&
   spec.cpus <= type.cpus &&
   spec.gpus <= type.gpus &&
--- a/src/workers/places.ts
+++ b/src/workers/places.ts
@@ -13,16 +13,15 @@
   /** `room` is what is free there; null for a machine with nothing on it. */
   may(spec: JobSpec, on: MachineKind, room: Room | null = null): boolean {
     if (!allowed(spec, on)) return false;
-    return spec.match === undefined || this.#rank(spec, on, room) !== null;
+    return spec.match === undefined || this.rank(spec, on, room) !== null;
   }
 
-  /** How much a job prefers a machine on which it may start: more is better, 0 without a wish. */
-  rank(spec: JobSpec, on: MachineKind, room: Room): number {
-    return spec.match === undefined ? 0 : (this.#rank(spec, on, room) ?? 0);
-  }
-
-  #rank(spec: JobSpec, on: MachineKind, room: Room | null): number | null {
-    return this.matching?.rank(spec, on, room) ?? null;
+  /**
+   * How much a job with expressions prefers a machine of a type, zone and kind that it may use: more
+   * is better. Null: it may not start there.
+   */
+  rank(spec: JobSpec, on: MachineKind, room: Room | null): number | null {
+    return this.matching === null ? null : this.matching.rank(spec, on, room);
   }
 
   /**
--- /dev/null
+++ b/test/submit-corpus.test.ts
@@ -0,0 +1,151 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { test } from "node:test";
+import { Ad, parseExpression, print } from "../src/classad/index.js";
+import { bodiesOf, planCluster, SubmitError } from "../src/submit/index.js";
+import { parseSubmission } from "../src/wire/jobs.js";
+import { PlacingBench } from "./support/placing.js";
+import { corpusWorld, matchingOf, typeOf } from "./support/submit.js";
+
+const BASE = join(import.meta.dirname, "../../test/corpus/submit");
+const TYPES = new Map(
+  [
+    typeOf("small", 4, 8),
+    typeOf("big", 32, 128),
+    typeOf("gpu", 16, 64, 4, ["north"]),
+    typeOf("arm", 8, 16, 0, ["south"]),
+  ].map((type) => [type.name, type]),
+);
+/** Name, type, zone, whether the cloud may take it: in the order in which the core knows them. */
+const MACHINES: [string, string, string, boolean][] = [
+  ["small-1", "small", "north", false],
+  ["small-2", "small", "south", true],
+  ["big-1", "big", "north", true],
+  ["big-2", "big", "south", false],
+  ["gpu-1", "gpu", "north", false],
+  ["arm-1", "arm", "south", false],
+];
+
+interface ExpectedJob {
+  /** The machine that its first task goes to when all are empty; null: it waits. */
+  at: string | null;
+  [field: string]: unknown;
+}
+
+interface Expected {
+  procs: number;
+  jobs: ExpectedJob[];
+  most?: number;
+  held?: boolean;
+}
+
+const matching = await matchingOf(readFileSync(join(BASE, "site.textproto"), "utf8"), TYPES);
+
+const read = (name: string) =>
+  planCluster({
+    file: name,
+    world: corpusWorld(BASE),
+    cluster: 41,
+    team: null,
+    user: "ann",
+    timeZone: "Etc/UTC",
+    environment: ["HOME_SITE", "NOWHERE"],
+  });
+
+const expectationIn = (name: string, mark: string): string => {
+  const text = readFileSync(join(BASE, name), "utf8");
+  return text
+    .split(/\r\n|\r|\n/)
+    .find((line) => line.startsWith(mark))!
+    .slice(mark.length);
+};
+
+for (const file of readdirSync(join(BASE, "taken")).sort()) {
+  const name = `taken/${file}`;
+  test(`submit file: ${file}`, () => {
+    const expected = JSON.parse(expectationIn(name, "#= ")) as Expected;
+    const cluster = read(name);
+    assert.equal(cluster.procs, expected.procs);
+    assert.equal(cluster.jobs.length, expected.jobs.length);
+    assert.equal(cluster.most, expected.most ?? null);
+    assert.equal(cluster.held, expected.held ?? false);
+    for (const [i, body] of bodiesOf(cluster, 41).entries()) {
+      const { at, ad: attributes, ...wanted } = expected.jobs[i]!;
+      const { plan, procs } = cluster.jobs[i]!;
+      const seen: Record<string, unknown> = {
+        procs,
+        team: plan.team,
+        cpus: plan.cores,
+        gpus: plan.accelerators,
+        mb: plan.memGb * 1024,
+        cmd: plan.command,
+        env: plan.environment,
+        req: plan.requirements,
+        rank: plan.rank,
+        urgency: plan.urgency,
+        spot: plan.spot,
+        bundle: plan.bundle,
+        name: plan.name,
+        expect: plan.expectS,
+        every: plan.stashEveryS,
+        save: plan.stashS,
+        due: plan.dueS,
+        eidos: plan.eidos,
+      };
+      for (const [field, value] of Object.entries(wanted)) {
+        assert.deepEqual(seen[field], value, `job ${i}: ${field}`);
+      }
+      const ad = Ad.parse(plan.ad);
+      for (const [attribute, text] of Object.entries((attributes ?? {}) as object)) {
+        assert.equal(print(ad.get(attribute.toLowerCase())!.node), text);
+      }
+      // What is sent is what a controller reads, and its texts are canonical.
+      const parsed = parseSubmission(body);
+      assert.ok(parsed.ok, parsed.ok ? "" : parsed.reason);
+      if (plan.requirements !== "") {
+        assert.equal(print(parseExpression(plan.requirements)), plan.requirements);
+      }
+      const bench = new PlacingBench(TYPES, { ...wrap, idle: () => false });
+      for (const machine of MACHINES) bench.machine(...machine);
+      const id = bench.job({ ...parsed.value.spec, team: "red", tasks: 1 });
+      bench.pass();
+      assert.equal(bench.where(id)[0] ?? null, at, `job ${i}: machine`);
+    }
+  });
+}
+
+/** Moments and clusters keep jobs back elsewhere; here the question is only where they go. */
+const wrap = {
+  rank: matching.rank.bind(matching),
+  like: matching.like.bind(matching),
+  held: () => null,
+  mostMs: () => null,
+  retries: () => null,
+  hold: () => undefined,
+  refuses: () => null,
+};
+
+for (const file of readdirSync(join(BASE, "refused")).sort()) {
+  if (file === "self.sub") continue;
+  const name = `refused/${file}`;
+  test(`submit file refused: ${file}`, () => {
+    const expected = expectationIn(name, "#! ");
+    assert.throws(
+      () => read(name),
+      (error) => {
+        assert.ok(error instanceof SubmitError, String(error));
+        const { line, column } = error.place;
+        const hint = error.hint === null ? "" : `; ${error.hint}`;
+        const said = `${line}:${column}: ${error.reason}${hint}`;
+        assert.ok(said.startsWith(expected), `\n said     ${said}\n expected ${expected}`);
+        return true;
+      },
+    );
+  });
+}
+
+test("submit corpus: at least 80 files that are taken and 40 that are refused", () => {
+  assert.ok(readdirSync(join(BASE, "taken")).length >= 80);
+  assert.ok(readdirSync(join(BASE, "refused")).length >= 40);
+});
--- /dev/null
+++ b/test/support/placing.ts
@@ -0,0 +1,124 @@
+import type { Matching } from "../../src/extension/index.js";
+import { Tree } from "../../src/fair/share.js";
+import type { Header } from "../../src/jobs/header.js";
+import type { PartContext } from "../../src/part/context.js";
+import { Ledger } from "../../src/part/ledger.js";
+import { beginPass, Placing } from "../../src/part/placing.js";
+import type { Quota } from "../../src/part/quota.js";
+import { Summaries } from "../../src/part/summary.js";
+import { defaultTuning } from "../../src/settings/tuning.js";
+import { Mirror } from "../../src/state/mirror.js";
+import type { MachineType } from "../../src/wire/cloud.js";
+import type { JobSpec } from "../../src/wire/jobs.js";
+import { Places } from "../../src/workers/places.js";
+import { FakeClock } from "./clock.js";
+import { LIMITS, quiet } from "./common.js";
+import { Random } from "./random.js";
+import { FakeState, FakeStore } from "./store.js";
+
+export const plainSpec: JobSpec = {
+  class: "test",
+  team: "red",
+  kind: "array",
+  rank: 1,
+  tasks: 1,
+  cpus: 1,
+  gpus: 0,
+  memGb: 1,
+  image: null,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: true,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+};
+
+/** The core's placing on machines that are just there: no store, no workers, no limits. */
+export class PlacingBench {
+  readonly clock = new FakeClock();
+  readonly mirror: Mirror;
+  readonly ledger: Ledger;
+  readonly placing: Placing;
+  readonly ctx: PartContext;
+  #jobs = 0;
+
+  constructor(
+    readonly types: ReadonlyMap<string, MachineType>,
+    matching: Matching | null,
+    teams: readonly string[] = ["red"],
+  ) {
+    const state = new FakeState(this.clock, LIMITS);
+    const store = new FakeStore(state, this.clock, new Random(1), LIMITS, 1000);
+    this.mirror = new Mirror(store, this.clock, quiet, 1000);
+    const listed = teams.map((name) => ({ name, cpus: 0, gpus: 0, cpus_max: 1e6, gpus_max: 1e6 }));
+    const { groups } = defaultTuning(listed);
+    this.ctx = {
+      index: 0,
+      store,
+      mirror: this.mirror,
+      clock: this.clock,
+      log: quiet,
+      rules: null,
+      places: new Places(matching),
+      types: () => types,
+      newTree: () => new Tree(groups),
+      summaries: new Summaries(),
+      targets: new Map(),
+      guaranteed: () => new Set<string>(),
+      timely: () => new Set<string>(),
+      reportMs: 2000,
+      leaseMs: 12_000,
+    } as unknown as PartContext;
+    this.ledger = new Ledger(this.ctx);
+    this.placing = new Placing(this.ctx, this.ledger, { fits: () => true } as unknown as Quota);
+  }
+
+  machine(id: string, type: string, zone: string, spot: boolean): void {
+    const machine = this.ledger.machine(id);
+    Object.assign(machine, { type, zone, spot, current: true });
+  }
+
+  job(spec: Partial<JobSpec>, id = `wk-${++this.#jobs}`): string {
+    const whole = { ...plainSpec, ...spec };
+    const header: Header = {
+      status: "open",
+      spec: whole,
+      owners: "0",
+      chunkSize: whole.tasks,
+      at: this.#jobs,
+      started: false,
+      moves: 0,
+      tasks: whole.tasks,
+    };
+    this.mirror.apply({ key: `w/j/${id}`, value: header, version: ++this.#jobs, deleted: false });
+    const { job, chunks } = this.ledger.missing(id, header)!;
+    for (const index of chunks) this.ledger.adopt(job, index, null);
+    return id;
+  }
+
+  pass(): void {
+    const pass = beginPass(this.ctx, this.ledger);
+    // All of them have just reported.
+    for (const machine of this.ledger.machines.values()) machine.lastSeen = this.clock.now();
+    this.placing.run(pass);
+  }
+
+  /** Where a job's tasks are, in order. */
+  where(id: string): string[] {
+    const job = this.ledger.jobs.get(id);
+    return [...(job?.chunks.values() ?? [])].flatMap((chunk) =>
+      [...chunk.live.values()].sort((a, b) => a.index - b.index).map(({ machine }) => machine),
+    );
+  }
+
+  /** Takes a job's tasks off their machines. */
+  clear(id: string): void {
+    for (const chunk of this.ledger.jobs.get(id)?.chunks.values() ?? []) {
+      for (const live of [...chunk.live.values()]) this.ledger.release(live, false);
+    }
+  }
+}
