--- a/src/classad/ast.ts
+++ b/src/classad/ast.ts
@@ -142,11 +142,11 @@
   depth: above(...items),
 });
 
-export const record = (entries: readonly Entry[]): Node => ({
-  kind: "ad",
-  entries,
-  depth: above(...entries.map(({ node }) => node)),
-});
+/** Of entries with one name, whatever its case, the last counts. */
+export function record(given: readonly Entry[]): Node {
+  const entries = [...new Map(given.map((entry) => [entry.name.toLowerCase(), entry])).values()];
+  return { kind: "ad", entries, depth: above(...entries.map(({ node }) => node)) };
+}
 
 export const call = (name: string, args: readonly Node[]): Node => ({
   kind: "call",
--- a/src/classad/patterns.ts
+++ b/src/classad/patterns.ts
@@ -64,8 +64,10 @@
       if (flag === undefined) return new Failure(`'${option}' is no option of a pattern here`);
       flags |= flag;
     }
-    // Before it is compiled: compiling is what a repeat of repeats makes dear.
-    if (copies(pattern) > program) return new Failure("a pattern with too many repeats");
+    // Before it is compiled: compiling is what a repeat of repeats makes dear, by what it repeats.
+    // Ten times what the program may have leaves room for text that is outside the repeats.
+    if (copies(pattern) * pattern.length > 10 * program)
+      return new Failure("a pattern with too many repeats");
     try {
       const compiled = RE2JS.compile(pattern, flags);
       if (compiled.programSize() > program) return new Failure("a pattern that is too large");
--- a/src/client/retry.ts
+++ b/src/client/retry.ts
@@ -23,6 +23,8 @@
   body?: unknown;
   timeoutMs?: number;
   patienceMs?: number;
+  /** An optional package's path: a controller that does not know it may have a neighbour that does. */
+  optional?: string;
 }
 
 /** Whether a status will not change by asking again. */
@@ -36,24 +38,28 @@
 export async function askUntilFinal<T>(
   caller: Caller,
   clock: Clock,
-  { method, path, body, timeoutMs = 5000, patienceMs = PATIENCE_MS }: Asking,
+  { method, path, body, timeoutMs = 5000, patienceMs = PATIENCE_MS, optional }: Asking,
   read: (body: unknown) => T | null,
 ): Promise<T> {
   const until = clock.now() + patienceMs;
   for (;;) {
     let answer: Answer | null = null;
     let why = "";
+    let unknown = false;
     try {
       answer = await caller.call(method, path, body, timeoutMs);
       const said = isMap(answer.body) ? String(answer.body.error ?? "") : "";
-      why = said === "" ? `status ${answer.status}` : `${said} (status ${answer.status})`;
+      unknown = optional !== undefined && answer.status === 404 && said === "";
+      if (unknown) why = `${optional} are not switched on there (status 404)`;
+      else why = said === "" ? `status ${answer.status}` : `${said} (status ${answer.status})`;
     } catch (error) {
       if (!(error instanceof NoAnswer)) throw error;
       why = error.message;
     }
     const value = answer === null || answer.status >= 300 ? null : read(answer.body);
     if (value !== null) return value;
-    if (answer !== null && isFinal(answer.status)) throw new RequestRefused(why, answer.status);
+    if (answer !== null && !unknown && isFinal(answer.status))
+      throw new RequestRefused(why, answer.status);
     const pause = Math.max(1, Math.min(MOST_RETRY_S, answer?.retryAfterS ?? 0)) * 1000;
     if (clock.now() + pause > until) throw new Unanswered(why);
     await sleep(clock, pause);
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -1,4 +1,4 @@
-import type { Attachment, Core } from "../extension/index.js";
+import { type Attachment, type Core, spoken } from "../extension/index.js";
 import { type Amounts, within } from "../fair/share.js";
 import { type Reply, retryLater } from "../http/server.js";
 import { cancelOnce } from "../jobs/cancelling.js";
@@ -103,7 +103,9 @@
   /** Why a job can never be taken. */
   #refusal(id: string, spec: JobSpec): { status: number; reason: string } | null {
     if (spec.match !== undefined && this.places.matching === null) {
-      return { status: 400, reason: "jobs with expressions are not switched on here" };
+      const reason = "jobs with expressions are not switched on here";
+      // On the way from off to on, or back: another controller may take it.
+      return { status: spoken("submit", this.core) ? 503 : 400, reason };
     }
     const never = this.#neverRuns(spec);
     if (never !== null) return { status: 422, reason: never };
--- a/src/extension/index.ts
+++ b/src/extension/index.ts
@@ -121,17 +121,23 @@
   attach(core: Core): Attachment;
 }
 
+/** The controllers that serve, by name, with the packages that they have. */
+function serving({ layout, mirror }: Core): [string, unknown[]][] {
+  return layout.members.flatMap(({ name }): [string, unknown[]][] => {
+    const row = mirror.rows.get(keys.node(name));
+    if (row === undefined) return [];
+    const { speaks } = row.value as { speaks?: unknown };
+    return [[name, Array.isArray(speaks) ? speaks : []]];
+  });
+}
+
 /**
  * The controllers that serve without a package, by name: they would not do for its jobs what it
  * promises. While there is one, such jobs are not taken.
  */
-export function without(name: string, { layout, mirror }: Core): string[] {
-  return layout.members
-    .map((member) => member.name)
-    .filter((member) => {
-      const row = mirror.rows.get(keys.node(member));
-      if (row === undefined) return false;
-      const { speaks } = row.value as { speaks?: unknown };
-      return !Array.isArray(speaks) || !speaks.includes(name);
-    });
-}
+export const without = (name: string, core: Core): string[] =>
+  serving(core).flatMap(([node, speaks]) => (speaks.includes(name) ? [] : [node]));
+
+/** Whether some controller has a package. */
+export const spoken = (name: string, core: Core): boolean =>
+  serving(core).some(([, speaks]) => speaks.includes(name));
--- a/src/part/holding.ts
+++ b/src/part/holding.ts
@@ -17,6 +17,8 @@
     const { spec, id, open } = job;
     if (spec.match === undefined || !open) continue;
     const held = matching.held(id) !== null;
+    // Released, it may fail as often again.
+    if (held) job.failures = 0;
     const mostMs = matching.mostMs(spec);
     const retries = matching.retries(spec);
     if (retries !== null && job.failures > retries && !held) {
--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -200,6 +200,8 @@
   #one(job: Job, pass: Pass): boolean {
     const { spec } = job;
     if (!this.quota.fits(spec)) return false;
+    // Its tasks may be placed only so many at a time.
+    if (spec.match !== undefined && job.pending === 0) return false;
     // A job that keeps failing is tried with one task at a time.
     if (job.failures > 1 && job.live) return false;
     const machine = this.#again(job, pass) ?? this.#best(job, pass);
--- a/src/submit/file/conditions.ts
+++ b/src/submit/file/conditions.ts
@@ -39,6 +39,7 @@
   place: Place,
 ): boolean {
   const text = condition.trim();
+  if (text === "") throw new SubmitError("a condition is missing", place);
   const not = /^!\s*([\s\S]*)$/.exec(text);
   if (not !== null && !not[1]!.startsWith("=")) return !holds(not[1]!, defined, expand, place);
   const name = /^defined\s+(\S+)$/i.exec(text);
@@ -57,3 +58,50 @@
   if (typeof result === "number") return result !== 0;
   throw new SubmitError(`'${value}' is neither true nor false`, place);
 }
+
+interface Branch {
+  /** Whether this branch counts, whether one before it did, and whether what is round it does. */
+  active: boolean;
+  taken: boolean;
+  outer: boolean;
+  /** Its else has come. */
+  last: boolean;
+  place: Place;
+}
+
+/** The conditions that are open at a line of a file. */
+export class Branches {
+  readonly #open: Branch[] = [];
+
+  /** Whether what stands here counts. */
+  get active(): boolean {
+    return this.#open.at(-1)?.active ?? true;
+  }
+
+  /** `if`, `elif`, `else` or `endif`; `test` is asked only where it decides. @throws SubmitError */
+  control(word: string, place: Place, test: () => boolean): void {
+    if (word === "if") {
+      const outer = this.active;
+      const is = outer && test();
+      this.#open.push({ active: is, taken: is, outer, last: false, place });
+      return;
+    }
+    const top = this.#open.at(-1);
+    if (top === undefined) throw new SubmitError(`${word} without if`, place);
+    if (word === "endif") {
+      this.#open.pop();
+      return;
+    }
+    if (top.last) throw new SubmitError(`${word} after else`, place);
+    if (word === "else") top.last = true;
+    const is = top.outer && !top.taken && (word === "else" || test());
+    top.active = is;
+    top.taken ||= is;
+  }
+
+  /** At the end of the file. */
+  end(): void {
+    const left = this.#open.at(-1);
+    if (left !== undefined) throw new SubmitError("this if has no endif", left.place);
+  }
+}
--- a/src/submit/file/read.ts
+++ b/src/submit/file/read.ts
@@ -1,5 +1,6 @@
+import { blockOf, listOf } from "./blocks.js";
 import { aliases, commandOf, commands } from "./commands.js";
-import { holds } from "./conditions.js";
+import { Branches, holds } from "./conditions.js";
 import { expand, NotAlike, PROC, referred, type Scope, type Written } from "./macros.js";
 import { fillVars, opensList, parseQueue, type Queue } from "./queue.js";
 import { decodeText, type Line, linesOf, nearest, type Place, SubmitError } from "./text.js";
@@ -15,6 +16,8 @@
   /** The most procs that a file may make, and bytes of all files that are read. */
   procs?: number;
   bytes?: number;
+  /** Told of each `warning :`. */
+  warn?(text: string, place: Place): void;
 }
 
 /** One proc of the cluster: the values of commands as they are for it. */
@@ -133,15 +136,7 @@
   }
 
   *#lines(lines: readonly Line[], depth: number): Generator<Proc> {
-    /** Open conditions: whether this branch counts, and whether one before it did. */
-    const open: {
-      active: boolean;
-      taken: boolean;
-      outer: boolean;
-      other: boolean;
-      place: Place;
-    }[] = [];
-    const active = (): boolean => open.at(-1)?.active ?? true;
+    const branches = new Branches();
     for (let i = 0; i < lines.length; i++) {
       const line = lines[i]!;
       const { text } = line;
@@ -149,14 +144,14 @@
       const place = line.at(start);
       const control = /^\s*(if|elif|else|endif)\b(?!\s*=)\s*([\s\S]*)$/i.exec(text);
       if (control !== null) {
-        this.#control(control[1]!.toLowerCase(), control[2]!, line, open);
+        branches.control(control[1]!.toLowerCase(), place, () => this.#holds(control[2]!, place));
         continue;
       }
-      if (!active()) {
+      if (!branches.active) {
         // What is left out may hold a list over several lines.
-        if (/^\s*queue\b/i.test(text) && opensList(text)) i = this.#list(lines, i).last;
+        if (/^\s*queue\b/i.test(text) && opensList(text)) i = listOf(lines, i).last;
         const block = ASSIGN.exec(text);
-        if (block !== null && block[3] === "@") i = this.#block(lines, i).last;
+        if (block !== null && block[3] === "@") i = blockOf(lines, i).last;
         continue;
       }
       const include = /^\s*include\b(?!\s*=)\s*([\s\S]*)$/i.exec(text);
@@ -166,9 +161,9 @@
       }
       const spoken = /^\s*(warning|error)\s*:\s*([\s\S]*)$/i.exec(text);
       if (spoken !== null) {
-        if (spoken[1]!.toLowerCase() === "error") {
-          throw new SubmitError(`the file says: ${this.#expand(spoken[2]!, place)}`, place);
-        }
+        const said = `the file says: ${this.#expand(spoken[2]!, place)}`;
+        if (spoken[1]!.toLowerCase() === "error") throw new SubmitError(said, place);
+        this.options.warn?.(said, place);
         continue;
       }
       if (/^\s*use\b(?!\s*=)/i.test(text)) {
@@ -176,50 +171,23 @@
       }
       const queue = /^\s*queue\b(?!\s*=)([\s\S]*)$/i.exec(text);
       if (queue !== null) {
-        const list = opensList(text) ? this.#list(lines, i) : null;
+        const list = opensList(text) ? listOf(lines, i) : null;
         if (list !== null) i = list.last;
         yield* this.#queue(queue[1]!, list?.rows ?? null, place);
         continue;
       }
       i = this.#assign(lines, i);
     }
-    const left = open.at(-1);
-    if (left !== undefined) throw new SubmitError("this if has no endif", left.place);
+    branches.end();
   }
 
-  #control(
-    word: string,
-    rest: string,
-    line: Line,
-    open: { active: boolean; taken: boolean; outer: boolean; other: boolean; place: Place }[],
-  ): void {
-    const place = line.at(line.text.search(/\S/));
-    const test = (): boolean => {
-      if (rest.trim() === "") throw new SubmitError(`${word} needs a condition`, place);
-      return holds(
-        rest,
-        (name) => this.#settings.has(name) || GIVEN.includes(name),
-        (text) => this.#expand(text, place),
-        place,
-      );
-    };
-    if (word === "if") {
-      const outer = open.at(-1)?.active ?? true;
-      const is = outer && test();
-      open.push({ active: is, taken: is, outer, other: false, place });
-      return;
-    }
-    const top = open.at(-1);
-    if (top === undefined) throw new SubmitError(`${word} without if`, place);
-    if (word === "endif") {
-      open.pop();
-      return;
-    }
-    if (top.other) throw new SubmitError(`${word} after else`, place);
-    if (word === "else") top.other = true;
-    const is = top.outer && !top.taken && (word === "else" || test());
-    top.active = is;
-    top.taken ||= is;
+  #holds(condition: string, place: Place): boolean {
+    return holds(
+      condition,
+      (name) => this.#settings.has(name) || GIVEN.includes(name),
+      (text) => this.#expand(text, place),
+      place,
+    );
   }
 
   *#include(rest: string, line: Line, depth: number): Generator<Proc> {
@@ -249,35 +217,6 @@
     yield* this.#file(path, place, depth + 1);
   }
 
-  /** The lines after a list's opening bracket, up to the closing one. */
-  #list(lines: readonly Line[], from: number): { rows: string[]; last: number } {
-    const rows: string[] = [];
-    for (let i = from + 1; i < lines.length; i++) {
-      const { text } = lines[i]!;
-      const end = /^([\s\S]*?)\)\s*$/.exec(text);
-      if (end !== null && !end[1]!.includes("(")) {
-        if (end[1]!.trim() !== "") rows.push(end[1]!);
-        return { rows, last: i };
-      }
-      rows.push(text);
-    }
-    const line = lines[from]!;
-    throw new SubmitError("this list is not closed", line.at(line.text.lastIndexOf("(")));
-  }
-
-  /** `name @=end`, with lines up to `@end`. */
-  #block(lines: readonly Line[], from: number): { rows: Line[]; last: number } {
-    const { text, at } = lines[from]!;
-    const equals = text.indexOf("=");
-    const tag = text.slice(equals + 1).trim();
-    const rows: Line[] = [];
-    for (let i = from + 1; i < lines.length; i++) {
-      if (lines[i]!.text.trim() === `@${tag}`) return { rows, last: i };
-      rows.push(lines[i]!);
-    }
-    throw new SubmitError(`there is no @${tag} to end this`, at(text.search(/\S/)));
-  }
-
   #assign(lines: readonly Line[], from: number): number {
     const line = lines[from]!;
     const { text } = line;
@@ -307,7 +246,7 @@
     let value: Written;
     let last = from;
     if (match[3] === "@") {
-      const block = this.#block(lines, from);
+      const block = blockOf(lines, from);
       last = block.last;
       value = { text: block.rows.map((row) => row.text.trim()).join(" "), at: () => place };
     } else {
--- a/src/submit/file/text.ts
+++ b/src/submit/file/text.ts
@@ -77,6 +77,7 @@
       if ((!goes && !comment) || i + 1 >= rows.length) break;
       i++;
     }
+    if (joined.trim() === "") continue;
     lines.push({
       text: joined,
       at: (offset) => {
--- a/src/submit/user/client.ts
+++ b/src/submit/user/client.ts
@@ -156,7 +156,8 @@
   }
 
   #ask<T>(method: string, path: string, body?: unknown): Promise<T> {
-    const asking = { method, path, body, patienceMs: this.patienceMs };
+    const optional = "submit files";
+    const asking = { method, path, body, patienceMs: this.patienceMs, optional };
     return askUntilFinal(this.#caller, this.clock, asking, (answer) => answer as T);
   }
 }
--- a/src/submit/user/commands.ts
+++ b/src/submit/user/commands.ts
@@ -1,6 +1,7 @@
 import { userInfo } from "node:os";
 import type { Command } from "commander";
 import { RequestRefused, Unanswered } from "../../client/retry.js";
+import type { ReadOptions } from "../file/read.js";
 import { SubmitError } from "../file/text.js";
 import { realWorld } from "../file/world.js";
 import { bodiesOf, type Cluster, planCluster } from "../map/cluster.js";
@@ -72,9 +73,10 @@
       return draws[seed++]!;
     },
   };
-  const plan = (cluster: number): Cluster => {
+  const plan = (cluster: number, warn?: ReadOptions["warn"]): Cluster => {
     seed = 0;
     return planCluster({
+      ...(warn === undefined ? {} : { warn }),
       file,
       world: once,
       cluster,
@@ -84,7 +86,11 @@
       environment: options.env ?? [],
     });
   };
-  const first = readWhole(() => plan(0));
+  const first = readWhole(() =>
+    plan(0, (text, { file: name, line }) => {
+      process.stderr.write(`${name}:${line}: ${text}\n`);
+    }),
+  );
   if (options.dryRun === true) {
     if (options.json === true) json({ ...first, jobs: bodiesOf(first, 0) });
     else write(clusterText(first));
@@ -97,7 +103,7 @@
       : { name: options.name, settle: () => undefined };
   await within(options.node, async (client) => {
     try {
-      const { cluster, taken } = await client.submit(pending.name, user, first, plan);
+      const { cluster, taken } = await client.submit(pending.name, user, first, (id) => plan(id));
       pending.settle();
       if (options.json === true) json({ cluster, procs: taken.procs, jobs: taken.jobs.length });
       else write(`${taken.procs} job(s) submitted to cluster ${cluster}.\n`);
--- a/test/support/placing.ts
+++ b/test/support/placing.ts
@@ -54,7 +54,7 @@
     const state = new FakeState(this.clock, LIMITS);
     const store = new FakeStore(state, this.clock, new Random(1), LIMITS, 1000);
     this.mirror = new Mirror(store, this.clock, quiet, 1000);
-    const listed = teams.map((name) => ({ name, cpus: 0, gpus: 0, cpus_max: 1e6, gpus_max: 1e6 }));
+    const listed = teams.map((name) => ({ name, cpus: 2, gpus: 0, cpus_max: 1e6, gpus_max: 1e6 }));
     const { groups } = defaultTuning(listed);
     this.ctx = {
       index: 0,
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -74,7 +74,7 @@
   until: number;
 }
 
-interface Job {
+export interface Job {
   id: string;
   body: Record<string, unknown>;
   team: string;
@@ -106,7 +106,17 @@
   freshenReports?: boolean;
 }
 
-class Worker {
+/** A machine type of the stand-in cloud. */
+export interface Build {
+  name: string;
+  cores: number;
+  memGb: number;
+  rate: number;
+}
+
+const M4: Build = { name: "m4", cores: 4, memGb: 16, rate: 1 };
+
+export class Worker {
   session = 1;
   seq = 0;
   token = 0;
@@ -123,6 +133,7 @@
     readonly id: string,
     readonly spot: boolean,
     readonly zone = "a",
+    readonly build: Build = M4,
   ) {
     this.leaseFrom = world.clock.now();
     this.node = world.random.int(0, world.nodes - 1);
@@ -164,7 +175,7 @@
     return {
       host: this.id,
       address: this.address,
-      build: "m4",
+      build: this.build.name,
       berth: this.zone,
       borrowed: this.spot,
       shift: this.session,
@@ -239,7 +250,7 @@
         for (const task of this.tasks.values()) {
           if (task.state !== "ended") used += this.world.jobOf(task.piece).cpus;
         }
-        if (used > 4) {
+        if (used > this.build.cores) {
           end("full");
           continue;
         }
@@ -280,8 +291,19 @@
   startedTasks = 0;
   /** When the last start of each task began, and in which zone. */
   readonly starts = new Map<string, { at: number; zone: string }>();
-  readonly #booting: { id: string; spot: boolean; zone: string; at: number; rentedAt: number }[] =
-    [];
+  readonly #booting: {
+    id: string;
+    spot: boolean;
+    zone: string;
+    build: Build;
+    at: number;
+    rentedAt: number;
+  }[] = [];
+  builds: Build[] = [M4];
+  /** Types of which the cloud has none just now. */
+  readonly soldOut = new Set<string>();
+  /** What is wrong with a task's start on a machine, beyond the rules of all jobs. */
+  judge: (piece: string, on: Worker) => string | null = () => null;
   readonly #requests = new Map<string, string[]>();
   #machines = 0;
   #runs = 0;
@@ -447,19 +469,19 @@
     await this.sleep(this.random.int(50, 150));
     if (this.cloudOutage) return { status: 503, body: { error: "trouble" } };
     if (path === "/catalog") {
-      const type = {
-        name: "m4",
-        cores: 4,
+      const builds = this.builds.map(({ name, cores, memGb, rate }) => ({
+        name,
+        cores,
         accelerators: 0,
-        memGb: 16,
+        memGb,
         cacheGb: 50,
         fetchGbPerS: 1,
-        rate: 1,
-        spotPrice: 0.3,
+        rate,
+        spotPrice: 0.3 * rate,
         bootS: 10,
         berths: [...this.zones],
-      };
-      return { status: 200, body: { builds: [type] } };
+      }));
+      return { status: 200, body: { builds } };
     }
     if (path === "/hosts/return") {
       for (const id of (body as { hosts: string[] }).hosts) this.remove(id);
@@ -467,17 +489,12 @@
     }
     if (method === "POST") return this.#rent(body as Record<string, unknown>);
     const hosts = [
-      ...[...this.workers.values()].map(({ id, spot, zone }) => ({
-        id,
-        spot,
-        zone,
-        status: "running",
-      })),
-      ...this.#booting.map(({ id, spot, zone }) => ({ id, spot, zone, status: "starting" })),
-    ].map(({ id, spot, zone, status }) => ({
+      ...[...this.workers.values()].map((worker) => ({ ...worker, status: "running" })),
+      ...this.#booting.map((machine) => ({ ...machine, status: "starting" })),
+    ].map(({ id, spot, zone, build, status }) => ({
       uid: id,
       address: `w:${id}`,
-      build: "m4",
+      build: build.name,
       berth: zone,
       borrowed: spot,
       status,
@@ -488,12 +505,15 @@
     return { status: 200, body: { hosts, more: false } };
   }
 
-  #rent({ charter, berth, borrowed, howMany }: Record<string, unknown>): Answer {
+  #rent({ charter, build: name, berth, borrowed, howMany }: Record<string, unknown>): Answer {
     const known = this.#requests.get(String(charter));
     if (known !== undefined) return { status: 200, body: { hosts: known } };
     const room = this.capacity - this.workers.size - this.#booting.length;
     const count = Math.min(room, Number(howMany));
-    if (count <= 0) return { status: 503, body: { error: "no capacity" } };
+    const build = this.builds.find((one) => one.name === name);
+    if (build === undefined) return { status: 400, body: { error: "no such build" } };
+    if (count <= 0 || this.soldOut.has(build.name))
+      return { status: 503, body: { error: "no capacity" } };
     const ids: string[] = [];
     for (let i = 0; i < count; i++) {
       const id = `host-${String(this.#machines++).padStart(6, "0")}`;
@@ -501,12 +521,12 @@
       const now = this.clock.now();
       const at = now + this.random.int(5000, 15_000);
       const zone = String(berth);
-      this.#booting.push({ id, spot: borrowed === true, zone, at, rentedAt: now });
+      this.#booting.push({ id, spot: borrowed === true, zone, build, at, rentedAt: now });
       this.clock.after(at - now, () => {
         const index = this.#booting.findIndex((machine) => machine.id === id);
         if (index < 0) return;
         this.#booting.splice(index, 1);
-        this.workers.set(id, new Worker(this, id, borrowed === true, zone));
+        this.workers.set(id, new Worker(this, id, borrowed === true, zone, build));
       });
     }
     this.#requests.set(String(charter), ids);
@@ -523,6 +543,37 @@
 
   // ---- users -----------------------------------------------------------------------------
 
+  /** A job whose sender is somebody else: known here once its body passes. */
+  adopt(body: Record<string, unknown>): Job {
+    const id = String(body.uid);
+    const known = this.jobs.get(id);
+    if (known !== undefined) return known;
+    const made: Job = {
+      id,
+      body,
+      team: String(body.owner),
+      tasks: Number(body.pieces),
+      cpus: Number(body.cores),
+      spot: body.borrowed === true,
+      runMs: Number(body.expectS) * 1000,
+      fails: false,
+      done: new Set(),
+      accepted: false,
+      toldDone: false,
+      toldCancelledAt: null,
+      askedToCancel: false,
+    };
+    this.jobs.set(id, made);
+    return made;
+  }
+
+  /** It has been accepted: from now on it is asked about as by its user. */
+  follow(job: Job): void {
+    if (job.accepted) return;
+    job.accepted = true;
+    void this.#user(job);
+  }
+
   submit(id: string, job: Partial<Job> & { team: string; tasks: number; rank?: string }): Job {
     const spot = job.spot ?? true;
     const cpus = job.cpus ?? 1;
@@ -637,6 +688,8 @@
     if (!job.accepted && !job.askedToCancel && !this.#known(job.id)) {
       this.#broken("invented", piece);
     }
+    const wrong = this.judge(piece, on);
+    if (wrong !== null) this.#broken("wrong_place", `${piece} on ${on.id}: ${wrong}`);
     if (on.spot && !job.spot) this.#broken("wrong_place", `${piece} on ${on.id}`);
     for (const worker of this.workers.values()) {
       const other = worker === on ? undefined : worker.tasks.get(piece);
