Submit files: jobs' ads apart from the matcher; what changes is found over all rules

Need: an attribute that operators make of one of another rule, which changes with a machine's room, was taken for a fixed one; one file had grown beyond its purpose.

Change: changing attributes are found over all rules until no more turn up, once; compiled ads and expressions have a file of their own.

--- a/src/part/holding.ts
+++ b/src/part/holding.ts
@@ -1,4 +1,5 @@
 import type { Matching } from "../extension/index.js";
+import type { Job } from "./job.js";
 import type { Ledger } from "./ledger.js";
 import type { Workers } from "./workers.js";
 
@@ -35,3 +36,18 @@
     }
   }
 }
+
+/** Jobs whose progress is told: what a frame holds, and more than anybody looks at. */
+const MOST_TOLD = 2000;
+
+/** How far jobs with expressions are here, for whoever asks any controller: placed and done. */
+export function progressOf(jobs: Iterable<Job>): [string, number, number][] {
+  const out: [string, number, number][] = [];
+  for (const { id, spec, placed, chunks } of jobs) {
+    if (spec.match === undefined || out.length >= MOST_TOLD) continue;
+    let done = 0;
+    for (const { doneCount } of chunks.values()) done += doneCount;
+    if (placed + done > 0) out.push([id, placed, done]);
+  }
+  return out;
+}
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -11,7 +11,7 @@
 import { Balancing, kindsOf } from "./balancing.js";
 import { Commits, type Outcome } from "./commits.js";
 import type { PartContext } from "./context.js";
-import { enforce } from "./holding.js";
+import { enforce, progressOf } from "./holding.js";
 import type { Job } from "./job.js";
 import { Ledger } from "./ledger.js";
 import { beginPass, Placing, usable } from "./placing.js";
@@ -32,9 +32,6 @@
   | { kind: "settled"; outcome: Outcome }
   | { kind: "stop" };
 
-/** Jobs whose progress is told: what a frame holds, and more than anybody looks at. */
-const MOST_TOLD = 2000;
-
 /** What an earlier owner, or the part that a chunk came from, has left of it. */
 interface Kept {
   state: ChunkState;
@@ -369,7 +366,7 @@
       else if (machine.live.size === 0)
         idle[machine.id] = Math.round((now - machine.idleSince) / 1000);
     }
-    const picky = progress && places.matching !== null ? this.#progress() : [];
+    const picky = progress && places.matching !== null ? progressOf(this.jobs.values()) : [];
     return {
       ...(picky.length === 0 ? {} : { progress: picky }),
       ...(rules === null
@@ -392,16 +389,4 @@
       seq: ++this.#summaries,
     };
   }
-
-  /** How far jobs with expressions are, for whoever asks any controller. */
-  #progress(): [string, number, number][] {
-    const out: [string, number, number][] = [];
-    for (const { id, spec, placed, chunks } of this.jobs.values()) {
-      if (spec.match === undefined || out.length >= MOST_TOLD) continue;
-      let done = 0;
-      for (const { doneCount } of chunks.values()) done += doneCount;
-      if (placed + done > 0) out.push([id, placed, done]);
-    }
-    return out;
-  }
 }
--- a/src/submit/index.ts
+++ b/src/submit/index.ts
@@ -34,7 +34,8 @@
 } from "./map/cluster.js";
 export { type Plan, SPECIAL } from "./map/job.js";
 export { type Analysis, analyze } from "./site/analyze.js";
-export { faultOf, Matcher } from "./site/matcher.js";
+export { faultOf } from "./site/job-ads.js";
+export { Matcher } from "./site/matcher.js";
 export type { ClusterRecord } from "./site/records.js";
 export { type MachineRule, readSettings, type SubmitSettings } from "./site/settings.js";
 export { gateOf, wishOf } from "./site/steward.js";
--- a/src/submit/site/matching.ts
+++ b/src/submit/site/matching.ts
@@ -4,7 +4,8 @@
 import type { MachineKind, Room } from "../../workers/machine.js";
 import type { Book } from "./book.js";
 import type { Desk } from "./desk.js";
-import { faultOf, type Matcher } from "./matcher.js";
+import { faultOf } from "./job-ads.js";
+import type { Matcher } from "./matcher.js";
 import { holdOf, mayStart, placeOf, withHold } from "./records.js";
 
 /** What the core asks about jobs with expressions, from clusters and from machines' ads. */
--- a/test/submit.test.ts
+++ b/test/submit.test.ts
@@ -33,6 +33,7 @@
 const SITE = `submit {
   machine { ad: "Arch = \\"X86_64\\"" }
   machine { type: "big" ad: "KFlops = 2000" }
+  machine { type: "small" ad: "Idle = Busy == false" }
   machine { type: "small" ad: "KFlops = 1000" ad: "Busy = Cpus < TotalCpus" }
 }`;
 const matching = await matchingOf(SITE, TYPES);
@@ -231,6 +232,14 @@
   assert.deepEqual([bench.where(first), bench.where(second)], [["s1"], []]);
 });
 
+test("also through attributes of another rule", () => {
+  assert.equal(matching.like({ ad: "", requirements: "Idle", rank: "", atOnce: null }), null);
+  assert.notEqual(
+    matching.like({ ad: "", requirements: "KFlops > 1", rank: "", atOnce: null }),
+    null,
+  );
+});
+
 test("analyze: each clause alone, together, and by what it excludes", () => {
   const rules = readSettings(
     {
