--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -15,30 +15,12 @@
 import { Places } from "../src/workers/places.js";
 import { FakeClock } from "./support/clock.js";
 import { bodyOf, LIMITS, quiet } from "./support/common.js";
+import { plainSpec } from "./support/placing.js";
 import { Random } from "./support/random.js";
 import { FakeState, FakeStore } from "./support/store.js";
 
 const team = { name: "red", cpus: 8, gpus: 0, cpus_max: 8, gpus_max: 0 };
-const spec: JobSpec = {
-  class: "test",
-  team: "red",
-  kind: "array",
-  rank: 1,
-  tasks: 1,
-  cpus: 1,
-  gpus: 0,
-  memGb: 1,
-  image: null,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: true,
-  estimateS: 10,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-};
+const spec = plainSpec;
 
 /** One part with everything around it, at the moment its owner takes it over. */
 class Bench {
