--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -10,7 +10,6 @@
 import { defaultTuning } from "../src/settings/tuning.js";
 import { Mirror } from "../src/state/mirror.js";
 import type { Change, Condition, Row } from "../src/state/store.js";
-import type { JobSpec } from "../src/wire/jobs.js";
 import type { Command, Report } from "../src/wire/workers.js";
 import { Places } from "../src/workers/places.js";
 import { FakeClock } from "./support/clock.js";
