Submit files: names are relative to the folder that the command runs in

Need: a file given by a path with a folder in it was looked for in that folder below itself, so the README's example failed.

Change: all names are relative to the working directory, as in HTCondor.

--- a/src/submit/file/world.ts
+++ b/src/submit/file/world.ts
@@ -1,5 +1,5 @@
 import { readdirSync, readFileSync, statSync } from "node:fs";
-import { dirname, isAbsolute, join, resolve } from "node:path";
+import { isAbsolute, join } from "node:path";
 
 /** What reading a submit file may use of the machine it is handed in on. Tests have their own. */
 export interface FileWorld {
@@ -8,7 +8,7 @@
   /** Paths that match a pattern with `*`, `?`, `[...]` in any of its steps, in order of name. */
   match(pattern: string, kind: "files" | "dirs" | "any"): string[];
   env(name: string): string | undefined;
-  /** A path of the file, relative to the folder of the submit file. */
+  /** A path of a file, whole. */
   resolve(path: string): string;
   /** From 0 to below 1. */
   random(): number;
@@ -70,9 +70,8 @@
     .sort();
 }
 
-/** The real machine, with the folder of the submit file as the one that names are relative to. */
-export function realWorld(submitFile: string): FileWorld {
-  const base = submitFile === "-" ? process.cwd() : dirname(resolve(submitFile));
+/** The real machine. Names are relative to the folder that the program runs in, as in HTCondor. */
+export function realWorld(base = process.cwd()): FileWorld {
   const full = (path: string): string => (isAbsolute(path) ? path : join(base, path));
   return {
     read: (path) => readFileSync(path === "-" ? 0 : full(path)),
--- a/src/submit/user/commands.ts
+++ b/src/submit/user/commands.ts
@@ -48,7 +48,7 @@
   const user = options.user ?? userName();
   const timeZone = options.timeZone ?? Intl.DateTimeFormat().resolvedOptions().timeZone;
   // One reading of a file that comes by a pipe: it is planned again once the cluster has a number.
-  const world = realWorld(file);
+  const world = realWorld();
   const bytes = world.read(file);
   const startedAt = world.now();
   let seed = 0;
--- a/test/submit.test.ts
+++ b/test/submit.test.ts
@@ -16,6 +16,7 @@
   Matcher,
   planCluster,
   readSettings,
+  realWorld,
   wishOf,
 } from "../src/submit/index.js";
 import type { JobState } from "../src/submit/site/book.js";
@@ -466,6 +467,29 @@
   );
 });
 
+test("files are found from the folder that the command runs in, also for a file in another one", () => {
+  const base = join(import.meta.dirname, "../../test/corpus");
+  const cluster = planCluster({
+    file: "submit/taken/001-plain.sub",
+    world: realWorld(base),
+    cluster: 1,
+    team: null,
+    user: "ann",
+    timeZone: "Etc/UTC",
+  });
+  assert.equal(cluster.procs, 1);
+  const world = realWorld(base);
+  // Found step by step, hidden files only when they are named.
+  assert.deepEqual(world.match("submit/data/*", "any"), [
+    "submit/data/1.dat",
+    "submit/data/2.dat",
+    "submit/data/sub",
+  ]);
+  assert.deepEqual(world.match("submit/data/.h*", "files"), ["submit/data/.hidden"]);
+  assert.deepEqual(world.match("submit/nowhere/*", "files"), []);
+  assert.throws(() => world.read("nowhere.sub"));
+});
+
 test("the name of a hand-in is kept until it is answered", () => {
   const env = {
     XDG_STATE_HOME: join(process.env.TMPDIR ?? "/tmp", `birchdale-test-${process.pid}`),
