--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -1,5 +1,5 @@
-import { type Clock, sleep, systemClock } from "../clock.js";
-import { type Caller, HttpClient, NoAnswer } from "../http/client.js";
+import { sleep } from "../clock.js";
+import { NoAnswer } from "../http/client.js";
 import {
   cancelPath,
   type JobStatus,
@@ -8,7 +8,7 @@
   parseStatus,
   statusPath,
 } from "../wire/jobs.js";
-import { askUntilFinal, PATIENCE_MS, RequestRefused, Unanswered } from "./retry.js";
+import { RequestClient, RequestRefused, Unanswered } from "./retry.js";
 
 export { RequestRefused, Unanswered } from "./retry.js";
 
@@ -20,18 +20,7 @@
 }
 
 /** What a user does: submit, show, watch and withdraw jobs, with the retries of PROTOCOL. */
-export class JobClient {
-  readonly #caller: Caller;
-
-  constructor(
-    address: string,
-    readonly clock: Clock = systemClock,
-    caller?: Caller,
-    readonly patienceMs = PATIENCE_MS,
-  ) {
-    this.#caller = caller ?? new HttpClient(address, 1, clock);
-  }
-
+export class JobClient extends RequestClient {
   submit(body: unknown): Promise<JobView> {
     return this.#ask("POST", jobsPath, body, 5000);
   }
@@ -47,7 +36,7 @@
   /** How the cluster stands, as that controller sees it. */
   async status(): Promise<unknown> {
     try {
-      const { status, body } = await this.#caller.call("GET", statusPath, undefined, 5000);
+      const { status, body } = await this.caller.call("GET", statusPath, undefined, 5000);
       if (status === 200) return body;
       throw new RequestRefused(`status ${status}`);
     } catch (error) {
@@ -69,13 +58,7 @@
     }
   }
 
-  close(): void {
-    if (this.#caller instanceof HttpClient) this.#caller.close();
-  }
-
   #ask(method: string, path: string, body: unknown, timeoutMs: number): Promise<JobView> {
-    const { patienceMs } = this;
-    const asking = { method, path, body, timeoutMs, patienceMs };
-    return askUntilFinal(this.#caller, this.clock, asking, parseStatus);
+    return this.ask({ method, path, body, timeoutMs }, parseStatus);
   }
 }
--- a/src/market/client.ts
+++ b/src/market/client.ts
@@ -1,6 +1,4 @@
-import { askUntilFinal, PATIENCE_MS } from "../client/retry.js";
-import { type Clock, systemClock } from "../clock.js";
-import { type Caller, HttpClient } from "../http/client.js";
+import { RequestClient } from "../client/retry.js";
 import type { RoundNote } from "./records.js";
 
 export interface BidView {
@@ -46,18 +44,7 @@
 }
 
 /** What guests and operators do with the market of a controller. */
-export class MarketClient {
-  readonly #caller: Caller;
-
-  constructor(
-    address: string,
-    readonly clock: Clock = systemClock,
-    caller?: Caller,
-    readonly patienceMs = PATIENCE_MS,
-  ) {
-    this.#caller = caller ?? new HttpClient(address, 1, clock);
-  }
-
+export class MarketClient extends RequestClient {
   bid(body: unknown): Promise<BidView> {
     return this.#ask("POST", "/market/bids", body);
   }
@@ -94,13 +81,8 @@
     return this.#ask("GET", "/market");
   }
 
-  close(): void {
-    if (this.#caller instanceof HttpClient) this.#caller.close();
-  }
-
   #ask<T>(method: string, where: string, body?: unknown): Promise<T> {
-    const asking = { method, path: where, body, patienceMs: this.patienceMs };
-    return askUntilFinal(this.#caller, this.clock, asking, (answer) => answer as T);
+    return this.ask({ method, path: where, body }, (answer) => answer as T);
   }
 }
 
--- a/src/submit/user/client.ts
+++ b/src/submit/user/client.ts
@@ -1,7 +1,5 @@
 import { JobClient } from "../../client/client.js";
-import { askUntilFinal, PATIENCE_MS, RequestRefused } from "../../client/retry.js";
-import { type Clock, systemClock } from "../../clock.js";
-import { type Caller, HttpClient } from "../../http/client.js";
+import { RequestClient, RequestRefused } from "../../client/retry.js";
 import { bodiesOf, type Cluster } from "../map/cluster.js";
 import type { Analysis } from "../site/analyze.js";
 import type { Counts, JobView } from "../site/views.js";
@@ -35,19 +33,9 @@
 }
 
 /** What partners do with clusters. Every request may be repeated, and is until it is answered. */
-export class SubmitClient {
-  readonly #caller: Caller;
-  readonly #jobs: JobClient;
-
-  constructor(
-    address: string,
-    readonly clock: Clock = systemClock,
-    caller?: Caller,
-    readonly patienceMs = PATIENCE_MS,
-  ) {
-    this.#caller = caller ?? new HttpClient(address, 1, clock);
-    this.#jobs = new JobClient(address, clock, this.#caller, patienceMs);
-  }
+export class SubmitClient extends RequestClient {
+  /** Jobs go the way that all jobs go. */
+  readonly #jobs = new JobClient("", this.clock, this.caller, this.patienceMs);
 
   /** The cluster's number, the same for every try under one name. */
   async open(
@@ -121,22 +109,20 @@
   }
 
   async jobs(cluster: number): Promise<ClusterJobs> {
-    const first = await this.#ask<ClusterJobs>("GET", `/submit/clusters/${cluster}/jobs/0`);
-    const jobs = await this.#pages<JobView>(
-      "jobs",
-      (after) => `/submit/clusters/${cluster}/jobs/${after ?? 0}`,
-    );
-    return { ...first, jobs };
+    const path = (after: number): string => `/submit/clusters/${cluster}/jobs/${after}`;
+    const all = await this.#ask<ClusterJobs & Page>("GET", path(0));
+    for (let { next } = all; next !== null; ) {
+      const page = await this.#ask<ClusterJobs & Page>("GET", path(next));
+      all.jobs.push(...page.jobs);
+      next = page.next;
+    }
+    return all;
   }
 
   analyze(job: string): Promise<AnalysisView> {
     return this.#ask("GET", `/submit/analyze/${encodeURIComponent(job)}`);
   }
 
-  close(): void {
-    if (this.#caller instanceof HttpClient) this.#caller.close();
-  }
-
   async #pages<T>(
     field: string,
     path: (after: number | null) => string,
@@ -145,10 +131,7 @@
     const all: T[] = [];
     let after: number | null = null;
     do {
-      const page: { next: number | null; [name: string]: unknown } = await this.#ask(
-        "GET",
-        path(after),
-      );
+      const page: Page = await this.#ask("GET", path(after));
       all.push(...(page[field] as T[]));
       after = page.next;
     } while (after !== null && all.length < most);
@@ -156,10 +139,13 @@
   }
 
   #ask<T>(method: string, path: string, body?: unknown): Promise<T> {
-    const optional = "submit files";
-    const asking = { method, path, body, patienceMs: this.patienceMs, optional };
-    return askUntilFinal(this.#caller, this.clock, asking, (answer) => answer as T);
+    return this.ask({ method, path, body, optional: "submit files" }, (answer) => answer as T);
   }
 }
 
+interface Page {
+  next: number | null;
+  [field: string]: unknown;
+}
+
 const teamOf = (team: string | null): string => (team === null ? "*" : encodeURIComponent(team));
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -179,6 +179,17 @@
     ends: "refused",
     afterS: 0,
   },
+  {
+    // PROTOCOL: any other status is tried again, though it begins with a 4.
+    name: "other statuses, then taken",
+    answers: [
+      { status: 408, body: undefined },
+      { status: 409, body: undefined },
+      { status: 201, body: { uid: "wk-1", status: "pending" } },
+    ],
+    ends: "view",
+    afterS: 2,
+  },
   { name: "never answered", answers: [], ends: "unanswered", afterS: 60 },
 ];
 for (const { name, answers, ends, afterS } of talks) {
