Matching: jobs are alike only in all that machines' answers depend on

Need: two jobs with the same texts counted as alike, though machines' own expressions may read the job's team: what one had found out kept the other from its machine. formatTime(), absTime() and dayTime() without an argument read the clock, and their answers were kept for good. A job's ad was compiled twice.

Change: a job's ad is named once, by all it was made from; functions that read the clock when they stand alone are known as such; +Team is refused like other attributes that the program sets.

Result: a test for each; both fail without their guard.

--- a/src/classad/reads.ts
+++ b/src/classad/reads.ts
@@ -17,7 +17,9 @@
   unknown: Set<string>;
 }
 
+/** Functions that ask for the time, and those that do when they have no argument. */
 const CLOCK = new Set(["time", "currenttime"]);
+const CLOCK_ALONE = new Set(["abstime", "formattime", "daytime"]);
 
 /** Which attributes an expression reads, through those of its own ad. */
 export function reads(node: Node, my: Ad | null): Reads {
@@ -40,7 +42,8 @@
         open.push(own.node);
       }
     } else if (next.kind === "call") {
-      if (CLOCK.has(next.key)) found.time = true;
+      const { key, args } = next;
+      if (CLOCK.has(key) || (args.length === 0 && CLOCK_ALONE.has(key))) found.time = true;
       if (next.key === "eval") found.anything = true;
       if (!functions.has(next.key) && lazies[next.key] === undefined) found.unknown.add(next.name);
     }
--- a/src/classad/run.ts
+++ b/src/classad/run.ts
@@ -76,7 +76,8 @@
   }
 }
 
-const inside = (my: Ad | null, target: Ad | null, run: Run): Frame => ({
+/** The frame of an expression that belongs to `my`, with `target` on the other side. */
+export const frameOf = (my: Ad | null, target: Ad | null, run: Run): Frame => ({
   ad: my,
   outer: null,
   my,
@@ -84,9 +85,6 @@
   run,
 });
 
-/** The frame of an expression that belongs to `my`, with `target` on the other side. */
-export const frameOf = inside;
-
 /**
  * A name without a scope: the ads round the expression from the inside out, `MY`, then `TARGET`,
  * whose own expressions see the two the other way round.
@@ -103,12 +101,12 @@
 function inMy(key: string, frame: Frame, otherwise: () => Value): Value {
   const attribute = frame.my?.get(key);
   if (attribute === undefined) return otherwise();
-  return frame.run.attribute(attribute, inside(frame.my, frame.target, frame.run));
+  return frame.run.attribute(attribute, frameOf(frame.my, frame.target, frame.run));
 }
 
 export function inTarget(key: string, { my, target, run }: Frame): Value {
   const attribute = target?.get(key);
-  return attribute === undefined ? UNDEFINED : run.attribute(attribute, inside(target, my, run));
+  return attribute === undefined ? UNDEFINED : run.attribute(attribute, frameOf(target, my, run));
 }
 
 export const lookUpMy = (key: string, frame: Frame): Value => inMy(key, frame, () => UNDEFINED);
--- a/src/extension/index.ts
+++ b/src/extension/index.ts
@@ -14,7 +14,7 @@
 import type { Mirror } from "../state/mirror.js";
 import type { Store } from "../state/store.js";
 import type { MachineType } from "../wire/cloud.js";
-import type { JobSpec, Match } from "../wire/jobs.js";
+import type { JobSpec } from "../wire/jobs.js";
 import type { MachineKind, Room } from "../workers/machine.js";
 
 /** What every side of a controller, and every package in it, shares. */
@@ -81,7 +81,7 @@
   /** Whether nothing of a job may start now, whatever room there is. */
   idle(id: string, spec: JobSpec): boolean;
   /** Alike for jobs that get the same answers; null when answers change with room or time. */
-  like(match: Match): string | null;
+  like(spec: JobSpec): string | null;
   /** Why a job is held: its tasks are stopped, with time to save; null when it is not. */
   held(id: string): string | null;
   /** How long one of its tasks may run, milliseconds; null for any time. */
--- a/src/submit/map/job.ts
+++ b/src/submit/map/job.ts
@@ -54,6 +54,7 @@
 
 /** Attributes that the program sets, and that a file therefore may not. */
 const OWN = new Set([
+  "team",
   "clusterid",
   "procid",
   "requestcpus",
--- a/src/submit/site/job-ads.ts
+++ b/src/submit/site/job-ads.ts
@@ -24,6 +24,8 @@
   readonly retries: number | null;
   /** Whether the leader has to look at it now and then. */
   readonly watched: boolean;
+  /** Short, since it becomes part of many keys. Never given to another one. */
+  readonly name: string;
 }
 
 interface Changing {
@@ -33,7 +35,10 @@
   time: boolean;
 }
 
-/** Ads and expressions that are kept for the next job that is alike; live jobs keep their own. */
+/**
+ * Ads and expressions that are kept for the next job that is alike; live jobs keep their own. One that
+ * is compiled anew has another name, which only tells alike jobs apart.
+ */
 const MOST_KEPT = 512;
 const MB_PER_GB = 1024;
 
@@ -42,8 +47,6 @@
   readonly #bySpec = new WeakMap<JobSpec, JobAd>();
   readonly #ads = new Map<string, JobAd>();
   readonly #expressions = new Map<string, Expression>();
-  readonly #likes = new WeakMap<Match, string | null>();
-  readonly #names = new Map<string, string>();
   #named = 0;
   #found: Changing | null = null;
 
@@ -54,15 +57,9 @@
     let known = this.#bySpec.get(spec);
     if (known !== undefined) return known;
     const match = spec.match!;
-    const key = JSON.stringify([
-      match,
-      spec.cpus,
-      spec.gpus,
-      spec.memGb,
-      spec.team,
-      spec.spot,
-      spec.zone,
-    ]);
+    // All that machines' answers depend on: their own expressions read the job's as well.
+    const { cpus, gpus, memGb, team, spot, zone } = spec;
+    const key = JSON.stringify([match, cpus, gpus, memGb, team, spot, zone]);
     known = this.#ads.get(key);
     if (known === undefined) {
       known = this.#compile(match, spec);
@@ -73,37 +70,6 @@
     return known;
   }
 
-  /**
-   * The same for jobs that all machines answer alike; null when the answer changes. What a job asks
-   * of a machine's size is compared beside it.
-   */
-  likeOf(match: Match): string | null {
-    let like = this.#likes.get(match);
-    if (like === undefined) {
-      const probe = this.#probe(match);
-      const text = JSON.stringify([match.ad, match.requirements, match.rank]);
-      // A short name, since it becomes part of many keys.
-      like = probe.byRoom || probe.byTime ? null : this.#nameOf(text);
-      this.#likes.set(match, like);
-    }
-    return like;
-  }
-
-  #nameOf(text: string): string {
-    let name = this.#names.get(text);
-    if (name === undefined) {
-      // Names are never given out twice, so forgetting some only tells alike jobs apart.
-      if (this.#names.size >= MOST_KEPT) this.#names.delete(this.#names.keys().next().value!);
-      name = `m${++this.#named}`;
-      this.#names.set(text, name);
-    }
-    return name;
-  }
-
-  #probe(match: Match): JobAd {
-    return this.#compile(match, { cpus: 0, gpus: 0, memGb: 0, team: "" } as JobSpec);
-  }
-
   #compile(match: Match, spec: JobSpec): JobAd {
     const ad = match.ad === "" ? new Ad() : Ad.parse(match.ad);
     ad.put("RequestCpus", Number.isInteger(spec.cpus) ? BigInt(spec.cpus) : spec.cpus)
@@ -136,6 +102,7 @@
       mostMs: scaled(wholeIn(ad, "allowedexecuteduration"), 1000),
       retries: wholeIn(ad, "jobmaxretries"),
       watched: WATCHED.some((name) => ad.has(name)),
+      name: `a${++this.#named}`,
     };
   }
 
--- a/src/submit/site/matcher.ts
+++ b/src/submit/site/matcher.ts
@@ -8,7 +8,7 @@
   type Value,
 } from "../../classad/index.js";
 import type { MachineType } from "../../wire/cloud.js";
-import type { JobSpec, Match } from "../../wire/jobs.js";
+import type { JobSpec } from "../../wire/jobs.js";
 import { allowed, type MachineKind, type Room, typeFits } from "../../workers/machine.js";
 import { type JobAd, JobAds } from "./job-ads.js";
 import { dropRoom, type KindAd, kindAd, kindsOf, putRoom } from "./kinds.js";
@@ -77,8 +77,9 @@
   }
 
   /** The same for jobs that all machines answer alike; null when the answer changes. */
-  likeOf(match: Match): string | null {
-    return this.#jobs.likeOf(match);
+  likeOf(spec: JobSpec): string | null {
+    const { byRoom, byTime, name } = this.jobAd(spec);
+    return byRoom || byTime ? null : name;
   }
 
   /** The ad of a kind of machine; null for a type that the catalogue does not have. */
@@ -153,7 +154,7 @@
 
   /** What was found from other types, or in another second, is found anew. */
   #refresh(job: JobAd): void {
-    const at = this.#epoch + (job.byTime ? this.now() : 0);
+    const at = this.#epoch * 2 ** 40 + (job.byTime ? this.now() : 0);
     if (at === job.answersAt) return;
     job.answersAt = at;
     job.answers = [];
--- a/src/submit/site/matching.ts
+++ b/src/submit/site/matching.ts
@@ -1,6 +1,6 @@
 import type { Core, Matching } from "../../extension/index.js";
 import { encode } from "../../wire/cbor.js";
-import { BY_REQUIREMENTS, type JobSpec, type Match } from "../../wire/jobs.js";
+import { BY_REQUIREMENTS, type JobSpec } from "../../wire/jobs.js";
 import type { MachineKind, Room } from "../../workers/machine.js";
 import type { Book } from "./book.js";
 import type { Desk } from "./desk.js";
@@ -40,8 +40,8 @@
     return !this.matcher.prospect(spec);
   }
 
-  like(match: Match): string | null {
-    return this.matcher.likeOf(match);
+  like(spec: JobSpec): string | null {
+    return this.matcher.likeOf(spec);
   }
 
   held(id: string): string | null {
--- a/src/workers/places.ts
+++ b/src/workers/places.ts
@@ -41,8 +41,8 @@
    * The same text for jobs that all machines answer alike, as far as expressions go; null when the
    * answer changes with a machine's room or with time.
    */
-  like({ match }: JobSpec): string | null {
-    if (match === undefined) return "";
-    return this.matching?.like(match) ?? null;
+  like(spec: JobSpec): string | null {
+    if (spec.match === undefined) return "";
+    return this.matching?.like(spec) ?? null;
   }
 }
--- a/test/submit.test.ts
+++ b/test/submit.test.ts
@@ -219,9 +219,13 @@
   now = 2000;
   assert.equal(cost(byTime, 1000), 1);
   assert.equal(matcher.rank(byTime, kind("small"), room), null);
-  assert.equal(matcher.likeOf(fixed.match!), matcher.likeOf({ ...fixed.match! }));
-  assert.equal(matcher.likeOf(byRoom.match!), null);
-  assert.equal(matcher.likeOf(byTime.match!), null);
+  assert.equal(matcher.likeOf(fixed), matcher.likeOf({ ...fixed, match: { ...fixed.match! } }));
+  assert.equal(matcher.likeOf(byRoom), null);
+  assert.equal(matcher.likeOf(byTime), null);
+  for (const clock of ["time()", "currentTime()", 'formatTime() == ""', "absTime() =!= 1"]) {
+    assert.equal(matcher.likeOf(picky(`${clock} || true`)), null, clock);
+  }
+  assert.notEqual(matcher.likeOf(picky('formatTime(0) == ""')), null);
 });
 
 test("attributes that operators make of what is free change with it", () => {
@@ -234,11 +238,18 @@
 });
 
 test("also through attributes of another rule", () => {
-  assert.equal(matching.like({ ad: "", requirements: "Idle", rank: "", atOnce: null }), null);
-  assert.notEqual(
-    matching.like({ ad: "", requirements: "KFlops > 1", rank: "", atOnce: null }),
-    null,
-  );
+  assert.equal(matching.like(picky("Idle")), null);
+  assert.notEqual(matching.like(picky("KFlops > 1")), null);
+});
+
+test("what one team's job has found out says nothing of another team's", async () => {
+  const start = `submit { machine { type: "small" start: "TARGET.Team == \\"blue\\"" } }`;
+  const bench = new PlacingBench(TYPES, await matchingOf(start, TYPES), ["red", "blue"]);
+  bench.machine("s1", "small", "north", true);
+  const red = bench.job(picky("true", "", "", { team: "red" }));
+  const blue = bench.job(picky("true", "", "", { team: "blue" }));
+  bench.pass();
+  assert.deepEqual([bench.where(red), bench.where(blue)], [[], ["s1"]]);
 });
 
 test("analyze: each clause alone, together, and by what it excludes", () => {
