One search for a machine; x = $(x:default); the leader's writes counted once

Names of a cluster's jobs are made in one place; periodic expressions are walked, not compiled for one look; the environment that a file reads is part of what it means.

--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -11,6 +11,7 @@
   unreserved,
   zoneAllowed,
 } from "../workers/machine.js";
+import type { Places } from "../workers/places.js";
 import type { PartContext } from "./context.js";
 import { byUrgency, type Job } from "./job.js";
 import type { Ledger } from "./ledger.js";
@@ -149,18 +150,18 @@
     const { spec, pending: count } = job;
     if (count === 0 || !this.quota.fits(spec, count)) return null;
     const zones = spec.oneZone ? [...new Set(machines.map(({ zone }) => zone))] : [null];
-    const { places } = this.ctx;
-    const preferred = spec.match === undefined ? machines : this.#ranked(spec, machines, types);
+    const rankOn = spec.match === undefined ? null : this.ctx.places.ranking(spec);
+    const preferred = rankOn === null ? machines : ranked(machines, types, rankOn);
     for (const zone of zones) {
       const hosts: Machine[] = [];
       const perZone = new Map<string, number>();
       for (const machine of preferred) {
-        if (zone !== null && machine.zone !== zone) continue;
-        const room = { ...unreserved(machine.room(types.get(machine.type)), machine, job.id) };
+        if (!allowed(spec, machine) || (zone !== null && machine.zone !== zone)) continue;
+        const room = { ...unreserved(machine.roomIn(types), machine, job.id) };
         while (
           hosts.length < count &&
           fitsRoom(room, spec) &&
-          places.may(spec, machine, room) &&
+          (rankOn === null || rankOn(machine, room) !== null) &&
           zoneAllowed(spec, machine.zone, perZone)
         ) {
           give(room, spec, -1);
@@ -173,18 +174,6 @@
     return null;
   }
 
-  /** The machines that a job likes best first; the others in the order in which they are. */
-  #ranked(spec: JobSpec, machines: readonly Machine[], types: Pass["types"]): Machine[] {
-    return machines
-      .map((machine) => {
-        const room = machine.room(types.get(machine.type));
-        const rank = this.ctx.places.rank(spec, machine, room);
-        return { machine, rank: rank ?? Number.NEGATIVE_INFINITY };
-      })
-      .sort((a, b) => (a.rank === b.rank ? 0 : b.rank - a.rank))
-      .map(({ machine }) => machine);
-  }
-
   /** The zones of a job's tasks that are placed. */
   #zones(job: Job): Map<string, number> {
     const zones = new Map<string, number>();
@@ -237,52 +226,17 @@
     if (plain && this.#hopeless.has(shape)) {
       if (!machines.some(({ reserved }) => reserved.has(job.id))) return null;
     }
-    const entitled = guaranteed.has(job.id);
-    const zones = spec.oneZone || spec.spread ? this.#zones(job) : null;
-    const best =
-      spec.match === undefined
-        ? this.#cheapest(job, pass, zones, entitled)
-        : this.#preferred(job, pass, zones, entitled);
+    const best = this.#search(job, pass, guaranteed.has(job.id));
     if (best === null && plain) this.#hopeless.add(shape);
     return best;
   }
 
-  #cheapest(
-    job: Job,
-    { machines, types, now }: Pass,
-    zones: Map<string, number> | null,
-    entitled: boolean,
-  ): Machine | null {
-    const { spec } = job;
-    const size = sizeOf(spec);
-    let best: Machine | null = null;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const machine of machines) {
-      const free = machine.roomIn(types);
-      if (!fitsRoom(free, size)) continue;
-      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
-      const room = unreserved(free, machine, job.id);
-      if (room !== free && !fitsRoom(room, size)) continue;
-      if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
-      const cost = this.#cost(job, machine, room, entitled, now);
-      if (cost < bestCost) {
-        best = machine;
-        bestCost = cost;
-      }
-    }
-    return best;
-  }
-
-  /** For a job with expressions: what it ranks highest, and among equals what is best for all. */
-  #preferred(
-    job: Job,
-    { machines, types, now }: Pass,
-    zones: Map<string, number> | null,
-    entitled: boolean,
-  ): Machine | null {
+  /** What a job with expressions ranks highest; among equals, and for all others, what costs least. */
+  #search(job: Job, { machines, types, now }: Pass, entitled: boolean): Machine | null {
     const { spec } = job;
     const size = sizeOf(spec);
-    const rankOn = this.ctx.places.ranking(spec);
+    const zones = spec.oneZone || spec.spread ? this.#zones(job) : null;
+    const rankOn = spec.match === undefined ? null : this.ctx.places.ranking(spec);
     let best: Machine | null = null;
     let bestCost = Number.POSITIVE_INFINITY;
     let bestRank = Number.NEGATIVE_INFINITY;
@@ -293,18 +247,21 @@
       const room = unreserved(free, machine, job.id);
       if (room !== free && !fitsRoom(room, size)) continue;
       if (zones !== null && !zoneAllowed(spec, machine.zone, zones)) continue;
-      const wish = rankOn(machine, room);
-      if (wish === null) continue;
-      // Room that others made for this job comes first: what was stopped for it must be of use.
-      const kept = machine.reserved.size > 0 && machine.reserved.has(job.id);
-      const rank = kept ? Number.POSITIVE_INFINITY : wish;
-      if (rank < bestRank) continue;
       const cost = this.#cost(job, machine, room, entitled, now);
+      if (rankOn !== null) {
+        const wish = rankOn(machine, room);
+        if (wish === null) continue;
+        // Room that others made for this job comes first: what was stopped for it must be of use.
+        const kept = machine.reserved.size > 0 && machine.reserved.has(job.id);
+        const rank = kept ? Number.POSITIVE_INFINITY : wish;
+        if (rank < bestRank) continue;
+        if (rank > bestRank) bestCost = Number.POSITIVE_INFINITY;
+        bestRank = rank;
+      }
       // The first of them, where all else is equal.
-      if (rank > bestRank || cost < bestCost) {
+      if (cost < bestCost) {
         best = machine;
         bestCost = cost;
-        bestRank = rank;
       }
     }
     return best;
@@ -327,6 +284,21 @@
   }
 }
 
+/** The machines that a job likes best first; the others in the order in which they are. */
+function ranked(
+  machines: readonly Machine[],
+  types: Pass["types"],
+  rankOn: ReturnType<Places["ranking"]>,
+): Machine[] {
+  return machines
+    .map((machine) => {
+      const rank = rankOn(machine, machine.roomIn(types)) ?? Number.NEGATIVE_INFINITY;
+      return { machine, rank };
+    })
+    .sort((a, b) => (a.rank === b.rank ? 0 : b.rank - a.rank))
+    .map(({ machine }) => machine);
+}
+
 /** Always of the same form, unlike jobs, some of which have expressions: for the innermost loops. */
 const sizeOf = ({ cpus, gpus, memGb }: JobSpec): Room => ({ cpus, gpus, memGb });
 
--- a/src/part/preempting.ts
+++ b/src/part/preempting.ts
@@ -266,7 +266,7 @@
       fitsRoom(room, spec) &&
       (spec.match === undefined || places.rank(spec, machine, room) !== null);
     for (const machine of machines) {
-      if (machine.failedJobs.has(job.id) || !allowed(spec, machine)) continue;
+      if (!allowed(spec, machine) || machine.failedJobs.has(job.id)) continue;
       const room = this.#rooms.get(machine)!;
       if (takes(machine, room)) return { hosts: [machine], picks: [] };
       const here = this.#byMachine.get(machine)!.filter(concerns);
@@ -340,7 +340,7 @@
         while (
           chosen.length < count &&
           fitsRoom(roomOf(machine), spec) &&
-          places.may(spec, machine, roomOf(machine))
+          (spec.match === undefined || places.rank(spec, machine, roomOf(machine)) !== null)
         ) {
           give(roomOf(machine), spec, -1);
           chosen.push(machine);
--- a/src/submit/file/read.ts
+++ b/src/submit/file/read.ts
@@ -1,7 +1,7 @@
 import { blockOf, listOf } from "./blocks.js";
 import { aliases, commandOf, commands } from "./commands.js";
 import { Branches, holds } from "./conditions.js";
-import { expand, NotAlike, PROC, referred, type Scope, type Written } from "./macros.js";
+import { expand, NotAlike, referred, type Scope, type Written } from "./macros.js";
 import { fillVars, opensList, parseQueue, type Queue } from "./queue.js";
 import { decodeText, type Line, linesOf, nearest, type Place, SubmitError } from "./text.js";
 import type { FileWorld } from "./world.js";
@@ -253,19 +253,30 @@
       const begin = match[0].length + /^\s*/.exec(text.slice(match[0].length))![0].length;
       value = { text: text.slice(begin).trimEnd(), at: (offset) => line.at(begin + offset) };
     }
-    // `x = $(x) more` means the value before.
-    const before = this.#settings.get(key);
-    const own = new RegExp(`\\$\\(\\s*${name.replace(".", "\\.")}\\s*\\)`, "gi");
-    if (own.test(value.text)) {
-      const old = before?.text ?? "";
-      value = { text: value.text.replace(own, () => old), at: () => place };
-    }
     const canonical = info === null ? key : info.name;
+    value = this.#withBefore(value, name, canonical, place);
     this.#settings.set(canonical, { ...value, name, place });
     if (info !== null || key.startsWith("my.")) this.#since.push(this.#settings.get(canonical)!);
     return last;
   }
 
+  /** `x = $(x) more` means the value before, or what stands after the colon. */
+  #withBefore(value: Written, name: string, canonical: string, place: Place): Written {
+    const own = new RegExp(`\\$\\(\\s*${name.replace(".", "\\.")}\\s*(?::([^()$]*))?\\)`, "gi");
+    if (!own.test(value.text)) return value;
+    const before = this.#settings.get(canonical)?.text;
+    const text = value.text.replace(own, (_, otherwise?: string) => {
+      const old = before ?? otherwise;
+      if (old !== undefined) return old;
+      throw new SubmitError(
+        `nothing sets $(${name}) before`,
+        place,
+        `write $(${name}:) for nothing`,
+      );
+    });
+    return { text, at: () => place };
+  }
+
   // ---- values ------------------------------------------------------------------------------
 
   #scope(
@@ -385,6 +396,3 @@
     };
   }
 }
-
-/** Puts a proc's number into text that was the same for all. */
-export const withProc = (text: string, id: number): string => text.replaceAll(PROC, String(id));
--- a/src/submit/file/world.ts
+++ b/src/submit/file/world.ts
@@ -74,7 +74,7 @@
 export function realWorld(base = process.cwd()): FileWorld {
   const full = (path: string): string => (isAbsolute(path) ? path : join(base, path));
   return {
-    read: (path) => readFileSync(path === "-" ? 0 : full(path)),
+    read: (path) => readFileSync(full(path)),
     match: (pattern, kind) =>
       matchPaths(pattern, kind, (folder) => {
         try {
--- a/src/submit/index.ts
+++ b/src/submit/index.ts
@@ -27,7 +27,6 @@
 export {
   bodiesOf,
   type Cluster,
-  jobId,
   type PlannedJob,
   type PlanOptions,
   planCluster,
@@ -36,7 +35,7 @@
 export { type Analysis, analyze } from "./site/analyze.js";
 export { faultOf } from "./site/job-ads.js";
 export { Matcher } from "./site/matcher.js";
-export type { ClusterRecord } from "./site/records.js";
+export { type ClusterRecord, jobId } from "./site/records.js";
 export { type MachineRule, readSettings, type SubmitSettings } from "./site/settings.js";
 export { gateOf, wishOf } from "./site/steward.js";
 export type { Counts, JobView } from "./site/views.js";
--- a/src/submit/map/cluster.ts
+++ b/src/submit/map/cluster.ts
@@ -1,6 +1,7 @@
 import { MAX_TASKS } from "../../wire/jobs.js";
 import { type ReadOptions, readSubmit } from "../file/read.js";
 import { type Place, SubmitError } from "../file/text.js";
+import { jobId } from "../site/records.js";
 import { bodyOf, type Defaults, type Plan, planOf } from "./job.js";
 
 /** Procs one after another that are alike: one job, whose tasks they are. */
@@ -26,8 +27,6 @@
 /** Jobs that a file may become: each of them is some records in the store. */
 export const MOST_JOBS = 2000;
 
-export const jobId = (cluster: number, index: number): string => `wk-c${cluster}.${index}`;
-
 export interface PlanOptions extends ReadOptions, Omit<Defaults, "now" | "cluster"> {
   jobs?: number;
 }
--- a/src/submit/site/api.ts
+++ b/src/submit/site/api.ts
@@ -1,12 +1,20 @@
 import { z } from "zod";
 import type { Attachment, Core } from "../../extension/index.js";
 import { type Reply, type Route, retryLater } from "../../http/server.js";
-import { MAX_TASKS } from "../../wire/jobs.js";
+import { type JobSpec, MAX_TASKS } from "../../wire/jobs.js";
 import { analyze } from "./analyze.js";
 import { type Book, isOver } from "./book.js";
 import type { Desk } from "./desk.js";
 import type { Matcher } from "./matcher.js";
-import { type ClusterRecord, holdOf, keys, placeOf, withHold, withRelease } from "./records.js";
+import {
+  type ClusterRecord,
+  holdOf,
+  jobId,
+  keys,
+  placeOf,
+  withHold,
+  withRelease,
+} from "./records.js";
 import type { SubmitSettings } from "./settings.js";
 import { countsOf, type JobView, progressOf, viewOf } from "./views.js";
 
@@ -31,6 +39,10 @@
 });
 
 const bad = (reason: string): Reply => ({ status: 400, body: { error: reason } });
+const noJob = bad("no such job of the cluster");
+/** Whether some of the jobs are none of the cluster's. */
+const strays = (jobs: readonly number[] | null, { jobs: count }: ClusterRecord): boolean =>
+  jobs?.some((index) => index >= count) === true;
 const missing: Reply = { status: 404, body: { error: "no such cluster" } };
 
 /** What users ask of clusters. Requests may be repeated: each says what should be, not what to do. */
@@ -150,7 +162,7 @@
     const { value: record } = known;
     if (record.state === "open") {
       for (let index = 0; index < record.jobs; index++) {
-        if (!(await this.desk.taken(`wk-c${id}.${index}`))) {
+        if (!(await this.desk.taken(jobId(id, index)))) {
           return { status: 409, body: { error: `job ${index} of the cluster is not there` } };
         }
       }
@@ -178,7 +190,7 @@
     if (known === null) return missing;
     const { jobs } = wanted;
     const { value } = known;
-    if (jobs?.some((index) => index >= value.jobs) === true) return bad("no such job");
+    if (strays(jobs, value)) return noJob;
     if (jobs === null) {
       // First the record: whoever finishes this after us, the leader as well, knows it then.
       const next = await this.desk.change(id, (now) =>
@@ -189,7 +201,7 @@
       return { status: 409, body: { error: "the cluster is still being handed in" } };
     }
     for (const index of jobs ?? Array.from({ length: value.jobs }, (_, i) => i)) {
-      await this.desk.cancel(`wk-c${id}.${index}`);
+      await this.desk.cancel(jobId(id, index));
     }
     return { status: 200, body: { cluster: id } };
   }
@@ -199,9 +211,11 @@
     if (wanted === null) return bad("jobs: a list of numbers");
     const { jobs, reason } = wanted;
     const next = await this.desk.change(id, (now) => {
+      if (strays(jobs, now)) return null;
       const held = withHold(now, jobs, reason);
       return JSON.stringify(held) === JSON.stringify(now) ? null : held;
     });
+    if (next !== null && strays(jobs, next)) return noJob;
     return next === null ? missing : { status: 200, body: { cluster: id, held: next.held } };
   }
 
@@ -300,11 +314,7 @@
 }
 
 /** Until when a job's own moment keeps it waiting, seconds since the epoch; null when it does not. */
-function waitsFor(
-  matcher: Matcher,
-  spec: Parameters<Matcher["jobAd"]>[0],
-  wall: number,
-): number | null {
+function waitsFor(matcher: Matcher, spec: JobSpec, wall: number): number | null {
   const value = matcher.jobAd(spec).after;
   return value !== null && value * 1000 > wall ? value : null;
 }
--- a/src/submit/site/book.ts
+++ b/src/submit/site/book.ts
@@ -1,7 +1,7 @@
 import type { Core } from "../../extension/index.js";
 import { type Header, isHeader } from "../../jobs/header.js";
 import { keys as coreKeys } from "../../state/keys.js";
-import { type ClusterRecord, isCluster, keys, placeOf } from "./records.js";
+import { type ClusterRecord, isCluster, jobId, keys, placeOf } from "./records.js";
 
 export interface Versioned<T> {
   value: T;
@@ -54,7 +54,7 @@
 
   jobs(cluster: number, record: ClusterRecord): JobState[] {
     return Array.from({ length: record.jobs }, (_, index) => {
-      const id = `wk-c${cluster}.${index}`;
+      const id = jobId(cluster, index);
       return { index, id, header: this.header(id) };
     });
   }
--- a/src/submit/site/desk.ts
+++ b/src/submit/site/desk.ts
@@ -26,7 +26,8 @@
 
   /**
    * Changes a record; `change` gives the next one, or null to leave it. Returns the record as it is
-   * then, null when there is none. `guard`: what else has to hold, such as the leader's claim.
+   * then, null when there is none. `guard`: what else has to hold, such as the leader's claim; who
+   * has one has taken the first write from the budget.
    */
   async change(
     id: number,
@@ -44,7 +45,7 @@
         known = newest;
         continue;
       }
-      store.writes.force(1);
+      if (attempt > 0 || guard.length === 0) store.writes.force(1);
       const key = keys.cluster(id);
       const result = await store.transact(
         [...guard, { key, version: known.version }],
@@ -61,15 +62,15 @@
     throw new Error("changed by others again and again");
   }
 
-  /** Cancels a job if it is there and open; says whether it is over then. */
-  async cancel(id: string): Promise<boolean> {
+  /** Cancels a job if it is there and open; says whether it is over then. `paid`: out of the budget. */
+  async cancel(id: string, paid = false): Promise<boolean> {
     const { store, mirror } = this.core;
     let row: Pick<Row, "value" | "version"> | null = mirror.rows.get(coreKeys.job(id)) ?? null;
     for (let attempt = 0; attempt < TRIES; attempt++) {
       if (row === null || attempt > 0) row = await store.get(coreKeys.job(id));
       if (row === null || !isHeader(row.value)) return false;
       if (row.value.status !== "open") return true;
-      store.writes.force(2);
+      if (attempt > 0 || !paid) store.writes.force(2);
       if (await cancelOnce(store, mirror, id, { header: row.value, version: row.version }))
         return true;
     }
--- a/src/submit/site/records.ts
+++ b/src/submit/site/records.ts
@@ -44,6 +44,9 @@
 
 const JOB = /^wk-c(\d{1,15})\.(\d{1,7})$/;
 
+/** The id of a cluster's job: any controller finds the cluster by it. */
+export const jobId = (cluster: number, index: number): string => `wk-c${cluster}.${index}`;
+
 /** The cluster and the index of a job, by its id; null for a job of no cluster. */
 export function placeOf(id: string): { cluster: number; index: number } | null {
   // Asked for every job in every pass: most are of no cluster.
--- a/src/submit/site/steward.ts
+++ b/src/submit/site/steward.ts
@@ -1,4 +1,4 @@
-import { Ad, Expression, type Node, truth } from "../../classad/index.js";
+import { Ad, print, runReference, truth } from "../../classad/index.js";
 import { sleep } from "../../clock.js";
 import type { Core, Leading } from "../../extension/index.js";
 import type { Header } from "../../jobs/header.js";
@@ -33,25 +33,21 @@
   );
   if (hold !== null) state.put("HoldReason", hold);
   const now = Math.floor(wall / 1000);
-  const is = (name: string): Node | null => {
+  const is = (name: string): boolean => {
     const node = state.get(name)?.node;
-    if (node === undefined) return null;
-    return truth(new Expression(node).evaluate({ my: state }, { now }).value) === true
-      ? node
-      : null;
+    // Once, against an ad made for it: compiling would cost more than it saves.
+    return node !== undefined && truth(runReference(node, { my: state }, { now }).value) === true;
   };
-  const text = (name: string): string => String(new Expression(state.get(name)!.node));
-  if (is("periodicremove") !== null) {
+  const text = (name: string): string => print(state.get(name)!.node);
+  if (is("periodicremove")) {
     return { kind: "remove", reason: `periodic_remove: ${text("periodicremove")}` };
   }
   if (hold !== null) {
     // What the user holds, the user releases.
     const own = hold.startsWith("periodic_hold");
-    return own && is("periodicrelease") !== null
-      ? { kind: "release", reason: "periodic_release" }
-      : null;
+    return own && is("periodicrelease") ? { kind: "release", reason: "periodic_release" } : null;
   }
-  if (is("periodichold") !== null) {
+  if (is("periodichold")) {
     return { kind: "hold", reason: `periodic_hold: ${text("periodichold")}` };
   }
   const after = literal(ad, "deferraltime");
@@ -213,7 +209,7 @@
 
   async #cancel(cluster: number, job: string): Promise<void> {
     if (!this.#mayWrite(cluster, 2)) return;
-    await this.desk.cancel(job);
+    await this.desk.cancel(job, true);
   }
 
   /** What there is no budget for now is looked at again. */
--- a/src/submit/user/commands.ts
+++ b/src/submit/user/commands.ts
@@ -5,7 +5,7 @@
 import { SubmitError } from "../file/text.js";
 import { realWorld } from "../file/world.js";
 import { bodiesOf, type Cluster, planCluster } from "../map/cluster.js";
-import { placeOf } from "../site/records.js";
+import { jobId, placeOf } from "../site/records.js";
 import { SubmitClient } from "./client.js";
 import { analysisText, clusterText, historyText, jobsText, queueText } from "./format.js";
 import { digestOf, pendingOf } from "./pending.js";
@@ -67,6 +67,11 @@
       seen.set(`${kind} ${pattern}`, found);
       return found;
     },
+    env: (name: string) => {
+      const found = world.env(name);
+      seen.set(`$${name}`, found ?? null);
+      return found;
+    },
     now: () => startedAt,
     random: () => {
       draws[seed] ??= world.random();
@@ -228,7 +233,7 @@
     .action(async (id: string, { node, json: asJson }) =>
       within(node, async (client) => {
         const { cluster, jobs } = chosen(id);
-        const found = await client.analyze(`wk-c${cluster}.${jobs?.[0] ?? 0}`);
+        const found = await client.analyze(jobId(cluster, jobs?.[0] ?? 0));
         return asJson ? json(found) : write(analysisText(found));
       }),
     );
--- a/test/submit-world.test.ts
+++ b/test/submit-world.test.ts
@@ -143,6 +143,10 @@
   const file = `${HEAD}+ExpectedRunS = 60\nqueue 3\n`;
   const { cluster } = await clusters.wait(clusters.submit("held", file));
   assert.ok(await clusters.until(() => clusters.running("wk-c1.") === 3));
+  await assert.rejects(
+    clusters.wait(clusters.client().hold(cluster, [7], "not there")),
+    /no such job/,
+  );
   await clusters.wait(clusters.client().hold(cluster, null, "for a while"));
   assert.ok(await clusters.until(() => clusters.running("wk-c1.") === 0, 15_000));
   const before = world.startedTasks;
