--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -5,12 +5,16 @@
 import { Budget } from "../state/budget.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
+import { typesKey } from "../state/schema.js";
 import type { Store } from "../state/store.js";
 import * as wire from "../wire/cloud.js";
+import { Forgetting } from "./forgetting.js";
 import { type Offer, plan } from "./plan.js";
 
 export interface FleetContext {
+  /** The leader's claim: its version and its key. */
   token: number;
+  key: string;
   summaries: Summaries;
   cloud: Caller;
   store: Store;
@@ -54,6 +58,8 @@
   /** When a machine was last named by a part, and since when one has been asked to go. */
   readonly #heard = new Map<string, number>();
   readonly #startedAt: number;
+  readonly #forgetting: Forgetting;
+  #forgetAt = 0;
   #types = new Map<string, wire.MachineType>();
   #requests = 0;
   #returns = 0;
@@ -70,6 +76,9 @@
     this.#startedAt = ctx.clock.now();
     this.#demandAt = this.#startedAt;
     this.#shortSince = this.#startedAt;
+    const { store, mirror, clock, key, token: version } = ctx;
+    const keepMs = Math.max(50 * ctx.leaseMs, 10 * ctx.listLagMs);
+    this.#forgetting = new Forgetting(store, mirror, clock, { key, version }, keepMs);
   }
 
   start(): void {
@@ -113,6 +122,17 @@
     for (const { machines } of summaries) for (const id of machines) this.#heard.set(id, now);
     await this.#giveBack(summaries);
     await this.#rent(summaries);
+    if (now - this.#forgetAt > this.ctx.leaseMs) await this.#forget(now);
+  }
+
+  /** What this leader remembers of machines ends with them, not with its claim. */
+  async #forget(now: number): Promise<void> {
+    this.#forgetAt = now;
+    for (const id of this.#forgetting.expired()) this.#returned.delete(id);
+    for (const [id, at] of this.#heard) {
+      if (now - at > this.#forgetting.keepMs) this.#heard.delete(id);
+    }
+    await this.#forgetting.step();
   }
 
   async #readTypes(): Promise<void> {
@@ -132,11 +152,12 @@
       price: 0,
       spotPrice: 0,
     }));
-    const row = this.ctx.mirror.rows.get(keys.types);
+    const key = typesKey(this.ctx.mirror);
+    const row = this.ctx.mirror.rows.get(key);
     if (JSON.stringify(row?.value) === JSON.stringify(shown)) return;
     await this.ctx.store.transact(
-      [{ key: keys.leader, version: this.ctx.token }],
-      [{ put: keys.types, value: shown }],
+      [{ key: this.ctx.key, version: this.ctx.token }],
+      [{ put: key, value: shown }],
     );
   }
 
@@ -188,6 +209,7 @@
     this.ctx.log.info({ machines: names }, "machines returned");
     for (const id of names) {
       this.#returned.set(id, idle.get(id) ?? 0);
+      this.#forgetting.returned(id);
       this.#listed.delete(id);
       this.#rented.delete(id);
     }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -17,11 +17,14 @@
 import { defaultTuning, type Tuning } from "../settings/tuning.js";
 import { keys } from "../state/keys.js";
 import { Mirror } from "../state/mirror.js";
+import { schemaOf, unreadable } from "../state/schema.js";
 import type { Store } from "../state/store.js";
 import type { MachineType } from "../wire/cloud.js";
 import { statusPath } from "../wire/jobs.js";
 import { ordersBody } from "../wire/workers.js";
 import { Places } from "../workers/places.js";
+import { Gone } from "./gone.js";
+import { type ArchiveOptions, History } from "./history.js";
 import { Owners } from "./owners.js";
 import { Standing } from "./standing.js";
 import { Users } from "./users.js";
@@ -47,6 +50,10 @@
   links: Links;
   /** Tells this run of the process from earlier ones. */
   run: string;
+  /** With it, this controller as the leader begins an archive of jobs that are over. */
+  archive?: ArchiveOptions;
+  /** This controller cannot go on, and has stopped. */
+  fatal?(why: string): void;
 }
 
 /** One controller: answers users and workers, owns parts, and leads when it is its turn. */
@@ -64,8 +71,10 @@
   readonly #standing: Standing;
   readonly #limits: Map<string, Amounts>;
   readonly #guarantees: Map<string, Amounts>;
-  readonly #gone = new Set<string>();
+  readonly #gone: Gone;
+  readonly #history: History;
   readonly #attached: Attachment[];
+  readonly #fatal: (why: string) => void;
   readonly #rules: PlacingRules | null;
   readonly #places: Places;
   #types = new Map<string, MachineType>();
@@ -76,7 +85,9 @@
   #watchedAt = 0;
   #stopped = false;
 
-  constructor({ settings, tuning, extensions, log, clock, links, run }: ControllerOptions) {
+  constructor(options: ControllerOptions) {
+    const { settings, tuning, extensions, archive, log, clock, links, run } = options;
+    this.#fatal = options.fatal ?? (() => undefined);
     const { params } = settings;
     const reportMs = params.workers.report_s * 1000;
     const mirror = new Mirror(links.store, clock, log, reportMs / 2);
@@ -124,7 +135,17 @@
       () => this.#membership,
       (index, token, lost) => this.#contextOf(index, token, lost),
     );
-    this.#users = new Users(core, most, this.#owners.parts, this.#attached, this.#places);
+    const { parts } = this.#owners;
+    this.#gone = new Gone(mirror, (machines) => {
+      for (const owner of parts.values()) owner.tell({ kind: "gone", machines });
+    });
+    this.#history = new History(
+      core,
+      archive ?? null,
+      (id) => [...parts.values()].some(({ jobs }) => jobs.has(id)),
+      (id) => this.#attached.some(({ wants }) => wants?.(id) === true),
+    );
+    this.#users = new Users(core, most, parts, this.#attached, this.#places, this.#history);
     this.router = this.#routes();
     this.#membership = new Membership(
       settings.node_name,
@@ -158,18 +179,20 @@
       for (const { name } of layout.members) if (mirror.rows.has(keys.node(name))) serving++;
       store.divide(serving);
     });
-    mirror.on("w/g/", ({ value }) => {
-      if (!Array.isArray(value)) return;
-      const machines = value.map(String);
-      for (const machine of machines) this.#gone.add(machine);
-      for (const owner of this.#owners.parts.values()) owner.tell({ kind: "gone", machines });
-    });
     mirror.on("w/s/", ({ key, value }) => {
       if (isSummary(value)) this.#hear(Number(key.slice(4)), value);
     });
-    mirror.on(keys.types, ({ value }) => {
-      if (!Array.isArray(value)) return;
-      this.#types = new Map((value as MachineType[]).map((type) => [type.name, type]));
+    for (const key of [keys.types, keys.types2]) {
+      mirror.on(key, ({ value }) => {
+        if (!Array.isArray(value)) return;
+        this.#types = new Map((value as MachineType[]).map((type) => [type.name, type]));
+      });
+    }
+    mirror.on(keys.schema, () => {
+      const why = unreadable(schemaOf(mirror));
+      if (why === null) return;
+      this.stop();
+      this.#fatal(why);
     });
   }
 
@@ -249,7 +272,7 @@
       summaries,
       metrics: this.#metrics,
       targets: this.#standing.targets,
-      gone: this.#gone,
+      gone: this.#gone.machines,
       guaranteed: () => this.#standing.guaranteed(),
       timely: () => this.#standing.timely(),
       order: (address, session, commands) =>
@@ -270,8 +293,10 @@
     const { params } = this.#settings;
     const valid = (): boolean => this.#membership.valid() && this.#membership.leaderToken === token;
     log.info({ token }, "leading");
+    const key = this.#membership.leaderKey;
     this.#fleet = new Fleet({
       token,
+      key,
       summaries,
       cloud: this.#links.cloud,
       store,
@@ -290,7 +315,8 @@
     });
     this.#fleet.start();
     for (const { lead } of this.#attached)
-      if (lead !== undefined) this.#led.push(lead({ token, valid }));
+      if (lead !== undefined) this.#led.push(lead({ token, key, valid }));
+    this.#led.push(this.#history.lead({ token, key, valid }));
   }
 
   /** Whether a machine that could be rented would do for a job, empty as it comes. */
--- /dev/null
+++ b/src/controller/gone.ts
@@ -0,0 +1,26 @@
+import { keys } from "../state/keys.js";
+import type { Mirror } from "../state/mirror.js";
+
+const PREFIX = keys.gone("");
+
+/**
+ * Machines that the cloud has confirmed to be gone, as long as their records are there. A record is
+ * the proof that nothing of a machine is left; who lacks it gets it anew by returning the machine
+ * once more, for the cloud confirms names that it does not know as well.
+ */
+export class Gone {
+  readonly machines = new Set<string>();
+  readonly #byKey = new Map<string, string[]>();
+
+  constructor(mirror: Mirror, tell: (machines: readonly string[]) => void) {
+    mirror.on(PREFIX, ({ key, value, deleted }) => {
+      for (const id of this.#byKey.get(key) ?? []) this.machines.delete(id);
+      this.#byKey.delete(key);
+      if (deleted || !Array.isArray(value)) return;
+      const names = value.map(String);
+      this.#byKey.set(key, names);
+      for (const id of names) this.machines.add(id);
+      tell(names);
+    });
+  }
+}
--- a/src/controller/index.ts
+++ b/src/controller/index.ts
@@ -1,1 +1,2 @@
 export { Controller, type ControllerOptions, type Links } from "./controller.js";
+export type { ArchiveOptions } from "./history.js";
--- a/src/controller/standing.ts
+++ b/src/controller/standing.ts
@@ -4,6 +4,7 @@
 import { dueOf, type Targets } from "../jobs/due.js";
 import { chunksLeft, type Header, isHeader } from "../jobs/header.js";
 import type { Summaries } from "../part/summary.js";
+import { HEADERS } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
 import type { JobSpec } from "../wire/jobs.js";
 
@@ -31,10 +32,16 @@
 
   /** Follows the headers; tells of each that changes, once it is known here. */
   follow(mirror: Mirror, tell: (id: string, header: Header) => void): void {
-    mirror.on("w/j/", ({ key, value }) => {
-      if (!isHeader(value)) return;
-      const id = key.slice(4);
+    mirror.on(HEADERS, ({ key, value, deleted }) => {
+      const id = key.slice(HEADERS.length);
       const known = this.open.get(id);
+      if (deleted) {
+        // Over and archived while this controller did not hear of either.
+        if (this.open.delete(id)) this.#inside = null;
+        if (known?.spec?.match !== undefined) this.#picky--;
+        return;
+      }
+      if (!isHeader(value)) return;
       if (value.status !== "open") {
         if (this.open.delete(id)) this.#inside = null;
         if (known?.spec?.match !== undefined) this.#picky--;
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -4,19 +4,37 @@
 import { cancelOnce } from "../jobs/cancelling.js";
 import {
   chunkSizeFor,
+  finishedTasks,
   type Header,
   isHeader,
   partChar,
   shownStatus,
   undivided,
 } from "../jobs/header.js";
+import type { Past } from "../jobs/past.js";
 import type { Part } from "../part/part.js";
 import { roomOf } from "../part/summary.js";
 import { keys } from "../state/keys.js";
 import { Refused } from "../state/store.js";
-import { isJobId, type JobSpec, parseSubmission, statusBody } from "../wire/jobs.js";
+import {
+  isJobId,
+  type JobSpec,
+  type JobStatus,
+  parseSubmission,
+  statusBody,
+} from "../wire/jobs.js";
 import { typeFits } from "../workers/machine.js";
 import type { Places } from "../workers/places.js";
+import type { History } from "./history.js";
+
+/** A job by its header, or by what the archive has of it. */
+type Found = { header: Header; version: number } | { past: Past };
+
+/** How often something is tried while others change what it depends on. */
+const TRIES = 4;
+
+const stateOf = (found: Found): JobStatus =>
+  "past" in found ? found.past.status : shownStatus(found.header);
 
 /** Answers users: takes, shows and cancels jobs, whoever owns the parts that run them. */
 export class Users {
@@ -27,6 +45,7 @@
     readonly parts: ReadonlyMap<number, Part>,
     readonly attached: readonly Attachment[],
     readonly places: Places,
+    readonly history: History,
   ) {}
 
   #known(id: string): Header | null {
@@ -34,17 +53,24 @@
     return row !== undefined && isHeader(row.value) ? row.value : null;
   }
 
-  /** The newest state of a job. Final states are safe to remember; others are read anew. */
-  async #current(id: string): Promise<{ header: Header; version: number } | null> {
+  /**
+   * The newest state of a job, wherever it is kept. Final states are safe to remember; others are
+   * read anew. What is in the archive was over before its header went.
+   */
+  async #current(id: string): Promise<Found | null> {
     const { mirror, store } = this.core;
     const known = mirror.rows.get(keys.job(id));
     if (known !== undefined && isHeader(known.value) && known.value.status !== "open") {
       return { header: known.value, version: known.version };
     }
+    const remembered = this.history.recall(id);
+    if (remembered !== null) return { past: remembered };
     const row = await store.get(keys.job(id));
-    if (row === null) return null;
+    if (row === null) {
+      const past = await this.history.find(id);
+      return past === null ? null : { past };
+    }
     if (!isHeader(row.value)) throw new Error(`job ${id}: not a header`);
-    mirror.apply({ ...row, deleted: false });
     return { header: row.value, version: row.version };
   }
 
@@ -54,7 +80,6 @@
   }
 
   async submit(body: unknown): Promise<Reply> {
-    const { store, mirror, log } = this.core;
     const parsed = parseSubmission(body);
     if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
     const { id, spec } = parsed.value;
@@ -73,33 +98,51 @@
         } else {
           const notNow = this.#notNow(spec);
           if (notNow !== null && (await this.#current(id)) === null) return retryLater(503, notNow);
-          // Users are few and come first; what the service refuses is answered with 503.
-          store.writes.force(1);
-          const header = this.#newHeader(spec);
-          const result = await store.transact(
-            [{ key: keys.job(id), version: 0 }],
-            [{ put: keys.job(id), value: header }],
-          );
-          if (result.ok) {
-            log.debug({ job: id, owners: header.owners }, "job accepted");
-            mirror.apply({
-              key: keys.job(id),
-              value: header,
-              version: result.revision,
-              deleted: false,
-            });
-            return { status: 201, body: statusBody(id, "pending") };
-          }
+          const taken = await this.#take(id, this.#newHeader(spec));
+          if (taken !== null) return taken;
         }
       }
       const known = await this.#current(id);
       if (known === null) return retryLater(503, "try again");
-      return { status: 200, body: statusBody(id, shownStatus(known.header)) };
+      return { status: 200, body: statusBody(id, stateOf(known)) };
     } catch (error) {
       return this.#unavailable(error);
     }
   }
 
+  /**
+   * Accepts a job that nobody has a header of, unless it is in the archive: retried long after it
+   * was over, or applied late, a submission must not give it a second life. Null when it turns out
+   * to be known already.
+   */
+  async #take(id: string, header: Header): Promise<Reply | null> {
+    const { store, mirror, log } = this.core;
+    const key = keys.job(id);
+    for (let attempt = 0; attempt < TRIES; attempt++) {
+      const guard = await this.history.guard(id);
+      if ("past" in guard) {
+        return { status: 200, body: statusBody(id, guard.past.status) };
+      }
+      // Users are few and come first; what the service refuses is answered with 503.
+      store.writes.force(1);
+      const mark = mirror.mark();
+      const result = await store.transact(
+        [{ key, version: 0 }, ...guard.when],
+        [{ put: key, value: header }],
+      );
+      if (result.ok) {
+        log.debug({ job: id, owners: header.owners }, "job accepted");
+        mirror.learn({ key, value: header, version: result.revision, deleted: false }, mark);
+        return { status: 201, body: statusBody(id, "pending") };
+      }
+      if (result.failed.includes(key)) return null;
+      // The archive has changed where this job would be in it, or has only just begun.
+      this.history.changed(result.failed);
+      if (result.failed.includes(keys.schema)) await mirror.reached(result.revision);
+    }
+    return retryLater(503, "try again");
+  }
+
   /** Why a job can never be taken. */
   #refusal(id: string, spec: JobSpec): { status: number; reason: string } | null {
     if (spec.match !== undefined && this.places.matching === null) {
@@ -179,10 +222,9 @@
     try {
       const known = await this.#current(id);
       if (known === null) return { status: 404, body: { error: "no such job" } };
-      return {
-        status: 200,
-        body: statusBody(id, shownStatus(known.header), this.#counts(id, known.header)),
-      };
+      const counts =
+        "past" in known ? { done: known.past.done, running: 0 } : this.#counts(id, known.header);
+      return { status: 200, body: statusBody(id, stateOf(known), counts) };
     } catch (error) {
       return this.#unavailable(error);
     }
@@ -191,12 +233,8 @@
   /** For display: what the finished chunks and our own parts say. */
   #counts(id: string, header: Header): { done: number; running: number } {
     if (header.status === "done") return { done: header.tasks, running: 0 };
-    let done = 0;
+    let done = finishedTasks(header);
     let running = 0;
-    for (let i = 0; i < header.owners.length; i++) {
-      if (header.owners[i] !== "x") continue;
-      done += Math.min(header.chunkSize, header.tasks - i * header.chunkSize);
-    }
     for (const part of this.parts.values()) {
       for (const chunk of part.jobs.get(id)?.chunks.values() ?? []) {
         if (header.owners[chunk.index] !== "x") done += chunk.doneCount;
@@ -210,12 +248,12 @@
     const { store, mirror, log } = this.core;
     if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
     try {
-      for (let attempt = 0; attempt < 4; attempt++) {
+      for (let attempt = 0; attempt < TRIES; attempt++) {
         const known = await this.#current(id);
         if (known === null) return { status: 404, body: { error: "no such job" } };
-        const { header } = known;
-        if (header.status !== "open") {
-          return { status: 200, body: statusBody(id, header.status) };
+        if ("past" in known) return { status: 200, body: statusBody(id, known.past.status) };
+        if (known.header.status !== "open") {
+          return { status: 200, body: statusBody(id, known.header.status) };
         }
         store.writes.force(2);
         if (await cancelOnce(store, mirror, id, known)) {
--- a/src/extension/index.ts
+++ b/src/extension/index.ts
@@ -96,8 +96,9 @@
 
 /** What a package does for the leader, as long as a leader's claim holds. */
 export interface Leading {
-  /** The fencing token: the version of the leader's claim. */
+  /** The fencing token: the version of the leader's claim; and the claim's key. */
   token: number;
+  key: string;
   /** Whether we are certainly still the leader. */
   valid(): boolean;
 }
@@ -113,6 +114,8 @@
   lead?(leading: Leading): { stop(): void };
   /** Why a submission that needs the package cannot be taken now, or null. */
   refuses?(spec: JobSpec): string | null;
+  /** Whether the header of a job that is over has to stay where it is for now. */
+  wants?(id: string): boolean;
   /** For `/about/status`. */
   status?(): object;
 }
--- a/src/jobs/cancelling.ts
+++ b/src/jobs/cancelling.ts
@@ -1,7 +1,7 @@
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
 import type { Store } from "../state/store.js";
-import type { Header } from "./header.js";
+import { cancelledHeader, type Header } from "./header.js";
 
 /**
  * Cancels an open job whose header was read at a version; false when it has changed since. After
@@ -13,7 +13,8 @@
   id: string,
   { header, version }: { header: Header; version: number },
 ): Promise<boolean> {
-  const next: Header = { ...header, status: "cancelled" };
+  const next = cancelledHeader(header, mirror.clock.wall());
+  const mark = mirror.mark();
   const result = await store.transact(
     [{ key: keys.job(id), version }],
     [
@@ -23,6 +24,6 @@
     ],
   );
   if (!result.ok) return false;
-  mirror.apply({ key: keys.job(id), value: next, version: result.revision, deleted: false });
+  mirror.learn({ key: keys.job(id), value: next, version: result.revision, deleted: false }, mark);
   return true;
 }
--- a/src/jobs/header.ts
+++ b/src/jobs/header.ts
@@ -17,9 +17,14 @@
   /** How often chunks of it have changed parts. */
   moves: number;
   tasks: number;
+  /** Once it is over: whose it was, and the time of day. Absent in records of 0.1.0. */
+  team?: string;
+  over?: number;
 }
 
 export const FINISHED = "x";
+/** In place of a part that has nothing more to do with a chunk of a cancelled job. */
+export const GONE = "-";
 export const partChar = (part: number): string => part.toString(36);
 
 export function withOwner(owners: string, chunk: number, owner: string): string {
@@ -35,10 +40,39 @@
   return left;
 }
 
-export function finalHeader(header: Header, status: "done" | "cancelled"): Header {
-  // A cancelled job keeps its owners: they still have tasks to stop and records to delete.
-  const { spec: _spec, ...rest } = header;
-  return status === "done" ? { ...rest, status, owners: "" } : { ...header, status };
+export function doneHeader(header: Header, wall: number): Header {
+  const { spec, ...rest } = header;
+  const team = spec === undefined ? {} : { team: spec.team };
+  return { ...rest, ...team, status: "done", owners: "", over: Math.round(wall) };
+}
+
+/** A cancelled job keeps its owners: they still have tasks to stop and records to delete. */
+export const cancelledHeader = (header: Header, wall: number): Header => ({
+  ...header,
+  status: "cancelled",
+  over: Math.round(wall),
+});
+
+/** A cancelled job of which a part has nothing left; once no part has, nothing is run by its spec. */
+export function tidied(header: Header, part: number): Header {
+  const owners = header.owners.replaceAll(partChar(part), GONE);
+  if (!isTidy({ ...header, owners })) return { ...header, owners };
+  const { spec, ...rest } = header;
+  return { ...rest, owners, ...(spec === undefined ? {} : { team: spec.team }) };
+}
+
+/** Whether a job is over and no part has anything of it any more. */
+export const isTidy = ({ status, owners }: Header): boolean =>
+  status !== "open" && /^[x-]*$/.test(owners);
+
+/** Tasks in the chunks that are finished. */
+export function finishedTasks({ status, owners, chunkSize, tasks }: Header): number {
+  if (status === "done") return tasks;
+  let done = 0;
+  for (let i = 0; i < owners.length; i++) {
+    if (owners[i] === FINISHED) done += Math.min(chunkSize, tasks - i * chunkSize);
+  }
+  return done;
 }
 
 export function shownStatus(header: Header): JobStatus {
--- a/src/local/state.ts
+++ b/src/local/state.ts
@@ -24,12 +24,16 @@
 }
 
 const copy = <T>(value: T): T => structuredClone(value);
+const sizeOf = (value: unknown): number => JSON.stringify(value)?.length ?? 0;
+const LIST_BYTES = 500 * 1024;
 const KEPT_EVENTS = 10_000;
 const TXN_BYTES = 64 * 1024;
 
 /** The state service, in memory: what `server.ts` puts on a socket, and tests call as it is. */
 export class StateService {
   readonly rows = new Map<string, StateRow>();
+  /** All keys in order; null when rows were changed from outside. */
+  #order: string[] | null = null;
   readonly leases = new Map<number, { ttlMs: number; endsAt: number }>();
   readonly log: Event[] = [];
   revision = 0;
@@ -109,12 +113,13 @@
     const version = ++this.revision;
     for (const change of changes) {
       if ("put" in change) {
+        if (!this.rows.has(change.put)) this.#insert(change.put);
         const value = copy(change.value);
         const lease = change.lease === undefined ? null : Number(change.lease);
         this.rows.set(change.put, { value, version, lease });
         this.log.push({ key: change.put, value, version, deleted: false });
       } else {
-        this.rows.delete(change.remove);
+        if (this.rows.delete(change.remove)) this.#order?.splice(this.#place(change.remove), 1);
         this.log.push({ key: change.remove, value: undefined, version, deleted: true });
       }
     }
@@ -124,12 +129,48 @@
     for (const { wake } of watchers) wake();
   }
 
+  /** The place of the first key that is not before one. */
+  #place(key: string): number {
+    this.#order ??= [...this.rows.keys()].sort();
+    let from = 0;
+    let to = this.#order.length;
+    while (from < to) {
+      const middle = (from + to) >> 1;
+      if (this.#order[middle]! < key) from = middle + 1;
+      else to = middle;
+    }
+    return from;
+  }
+
+  #insert(key: string): void {
+    const at = this.#place(key);
+    if (this.#order![at] !== key) this.#order!.splice(at, 0, key);
+  }
+
+  /** Puts rows there as they are, such as those of a deployment that has run for long. */
+  fill(rows: Iterable<[key: string, row: StateRow]>): void {
+    for (const [key, row] of rows) {
+      this.rows.set(key, row);
+      this.revision = Math.max(this.revision, row.version);
+    }
+    this.#order = null;
+  }
+
   /** Rows under a prefix, in order of their keys, beginning after one. */
   list(prefix: string, after: string, most: number): { rows: [string, StateRow][]; more: boolean } {
-    const all = [...this.rows]
-      .filter(([key]) => key.startsWith(prefix) && key > after)
-      .sort(([a], [b]) => (a < b ? -1 : 1));
-    return { rows: all.slice(0, most), more: all.length > most };
+    let at = this.#place(after < prefix ? prefix : after);
+    const order = this.#order!;
+    if (order[at] === after) at++;
+    const rows: [string, StateRow][] = [];
+    let bytes = 0;
+    for (; at < order.length && order[at]!.startsWith(prefix); at++) {
+      // A response holds no more than so many rows, and 512 KiB.
+      if (rows.length >= most || bytes > LIST_BYTES) return { rows, more: true };
+      const row = this.rows.get(order[at]!)!;
+      if (LIST_BYTES < most * this.limits.valueBytes) bytes += sizeOf(row.value);
+      rows.push([order[at]!, row]);
+    }
+    return { rows, more: false };
   }
 
   changes(prefix: string, after: number): Event[] | null {
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,6 +4,7 @@
 import { Command, CommanderError, InvalidArgumentError } from "commander";
 import {
   ControllerNode,
+  defaultArchive,
   JobClient,
   type JobView,
   loadOperators,
@@ -45,7 +46,13 @@
   }
 }
 
-async function serve(options: { config?: string; tuning?: string[] }): Promise<void> {
+interface ServeOptions {
+  config?: string;
+  tuning?: string[];
+  archive?: boolean;
+}
+
+async function serve(options: ServeOptions): Promise<void> {
   const { config, tuning: files = [] } = options;
   if (config === undefined) {
     return program.error("error: give --config <file> or a command; see --help", {
@@ -58,7 +65,18 @@
   // Whatever goes wrong in one request must not end the others.
   process.on("uncaughtException", (error) => log.error({ err: error }, "unexpected"));
   process.on("unhandledRejection", (error) => log.error({ err: error }, "unexpected"));
-  await new ControllerNode({ settings, ...operators, log }).start();
+  const archive = operators.archive ?? (options.archive === true ? defaultArchive : undefined);
+  const node = new ControllerNode({
+    settings,
+    ...operators,
+    archive,
+    log,
+    fatal: (why) => {
+      process.stderr.write(`birchdale: ${why}\n`);
+      process.exit(1);
+    },
+  });
+  await node.start();
 }
 
 function readJob(file: string): unknown {
@@ -85,6 +103,7 @@
     (file: string, files: string[] = []) => [...files, file],
   )
   .option("--config <file>", "run a controller with these settings (TOML)")
+  .option("--archive", "as the leader, archive jobs that are over, as by `archive {}` in --tuning")
   .action(serve)
   .exitOverride()
   .configureOutput({ outputError: (text, write) => write(text) });
--- a/src/market/desk.ts
+++ b/src/market/desk.ts
@@ -1,5 +1,4 @@
 import type { Core, Leading } from "../extension/index.js";
-import { keys as coreKeys } from "../state/keys.js";
 import type { Condition } from "../state/store.js";
 import { Accounts } from "./accounts.js";
 import type { Book } from "./book.js";
@@ -26,6 +25,6 @@
 
   /** What every write depends on. */
   get guard(): Condition[] {
-    return [{ key: coreKeys.leader, version: this.leading.token }];
+    return [{ key: this.leading.key, version: this.leading.token }];
   }
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -2,6 +2,7 @@
 import type { Log } from "../log.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
+import { KNOWN_SCHEMA, leaderKey } from "../state/schema.js";
 import { NoLease, type Store } from "../state/store.js";
 import type { Layout } from "./layout.js";
 
@@ -29,6 +30,8 @@
 export class Membership {
   readonly owned = new Map<number, number>();
   leaderToken: number | null = null;
+  /** The key of the claim that it is the version of. */
+  leaderKey: string = keys.leader;
   readonly ttlMs: number;
   #lease: number | string | null = null;
   #validUntil = Number.NEGATIVE_INFINITY;
@@ -58,7 +61,11 @@
     this.ttlMs = (leaseS * 1000) / 4;
     this.#startedAt = clock.now();
     mirror.on("w/p/", (event) => this.#claimChanged(event.key, event.version, event.value));
-    mirror.on(keys.leader, (event) => this.#leaderChanged(event.version, event.value));
+    for (const key of [keys.leader, keys.leader2]) {
+      mirror.on(key, (event) => {
+        if (event.key === key) this.#leaderChanged(key, event.version, event.value);
+      });
+    }
   }
 
   /** Whether the lease cannot have ended yet, by the slowest clock allowed. */
@@ -103,7 +110,8 @@
     if (token !== null) {
       this.leaderToken = null;
       this.handlers.deposed();
-      await this.store.transact([{ key: keys.leader, version: token }], [{ remove: keys.leader }]);
+      const key = this.leaderKey;
+      await this.store.transact([{ key, version: token }], [{ remove: key }]);
     }
     for (const part of parts) await this.release(part, why);
   }
@@ -151,20 +159,25 @@
       }
     }
     this.#validUntil = sentAt + this.ttlMs * (1 - DRIFT);
+    await this.#show();
+  }
+
+  /** Tells the others that we are here. They hand our parts back then: so not before we can read. */
+  async #show(): Promise<void> {
     const shy = this.#shy();
-    if (!this.#present || shy !== this.#shownShy) {
-      await this.store.transact(
-        [],
-        [{ put: keys.node(this.node), value: this.#presence(shy), lease: this.#lease }],
-      );
-      this.#present = true;
-      this.#shownShy = shy;
-    }
+    if (this.#lease === null || !this.mirror.ready) return;
+    if (this.#present && shy === this.#shownShy) return;
+    await this.store.transact(
+      [],
+      [{ put: keys.node(this.node), value: this.#presence(shy), lease: this.#lease }],
+    );
+    this.#present = true;
+    this.#shownShy = shy;
   }
 
   #presence(shy: boolean): object {
     const { run, speaks } = this;
-    return speaks.length === 0 ? { run, shy } : { run, shy, speaks };
+    return { run, shy, schema: KNOWN_SCHEMA, ...(speaks.length === 0 ? {} : { speaks }) };
   }
 
   #shy(): boolean {
@@ -180,11 +193,12 @@
     if (this.#lease === null || !this.valid() || !this.mirror.ready) return;
     const now = this.clock.now();
     if (now - this.mirror.contactAt > this.ttlMs) return;
+    if (!this.#present) await this.#show();
     for (const { name } of this.layout.members) {
       if (!this.#serving(name)) this.#homeSince.delete(name);
       else if (!this.#homeSince.has(name)) this.#homeSince.set(name, now);
     }
-    await this.#claimKey(keys.leader, this.#patience(null, now));
+    await this.#claimKey(leaderKey(this.mirror), this.#patience(null, now));
     for (let part = 0; part < this.layout.parts; part++) {
       const home = this.layout.home(part).name;
       if (this.owned.has(part)) {
@@ -272,12 +286,13 @@
     }
   }
 
-  #leaderChanged(version: number, value: unknown): void {
+  #leaderChanged(key: string, version: number, value: unknown): void {
     if (this.#mine(value)) {
       if (this.leaderToken === version) return;
       this.leaderToken = version;
+      this.leaderKey = key;
       this.handlers.leading(version);
-    } else if (this.leaderToken !== null && version > this.leaderToken) {
+    } else if (this.leaderToken !== null && key === this.leaderKey && version > this.leaderToken) {
       this.leaderToken = null;
       this.handlers.deposed();
     }
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { Agent, type Server } from "node:http";
 import { type Clock, systemClock } from "./clock.js";
-import { Controller } from "./controller/index.js";
+import { type ArchiveOptions, Controller } from "./controller/index.js";
 import type { Extension } from "./extension/index.js";
 import { HttpClient } from "./http/client.js";
 import { startServer } from "./http/server.js";
@@ -18,6 +18,10 @@
   extensions?: readonly Extension[];
   log: Log;
   clock?: Clock;
+  /** Whether this controller begins an archive of jobs that are over, and when they go into it. */
+  archive?: ArchiveOptions;
+  /** Called once when the controller cannot go on; it has stopped then. */
+  fatal?(why: string): void;
 }
 
 /** A controller with its sockets: what the daemon runs, and what a program may embed. */
@@ -32,7 +36,8 @@
   readonly #workers: Agent;
   #server: Server | null = null;
 
-  constructor({ settings, tuning, extensions, log, clock = systemClock }: NodeOptions) {
+  constructor(options: NodeOptions) {
+    const { settings, tuning, extensions, log, clock = systemClock, archive, fatal } = options;
     this.#settings = settings;
     this.#log = log;
     const { params, services } = settings;
@@ -67,6 +72,8 @@
       log,
       clock,
       run: randomUUID(),
+      archive,
+      fatal,
       links: {
         store,
         cloud: this.#cloud,
--- a/src/part/balancing.ts
+++ b/src/part/balancing.ts
@@ -93,6 +93,9 @@
       const usable = (kind: KindRoom): boolean => this.ctx.places.may(spec, kind);
       const granted = this.#granted(job);
       const here = granted(this.ctx.index) ? roomOf(own, usable) : NOWHERE;
+      // A job that keeps failing finds no machine here that has not failed it yet, and would find
+      // none elsewhere: it once travelled to and fro 146 times, each time counting its failures anew.
+      if (job.failures > 0 && here.capacity > 0) continue;
       const rooms = others
         .filter(({ part }) => allowedParts === null || allowedParts.includes(part))
         .filter(({ part }) => granted(part))
--- a/src/part/commits.ts
+++ b/src/part/commits.ts
@@ -2,8 +2,8 @@
 import type { Chunk, ChunkState } from "../jobs/chunk.js";
 import {
   allFinished,
+  doneHeader,
   FINISHED,
-  finalHeader,
   type Header,
   partChar,
   withOwner,
@@ -106,7 +106,7 @@
    * its chunks; a chunk that leaves does so together with its page and its header.
    */
   #collect(leave: boolean): Batch {
-    const { index, token, store, mirror } = this.ctx;
+    const { index, token, store, mirror, clock } = this.ctx;
     const { ops, conditions, txnBytes } = store.limits;
     const pageSize = pageBytes(store.limits);
     const fenceKey = keys.fence(index);
@@ -225,7 +225,7 @@
       headers.set(job, { ...job.header, started: true });
     }
     for (const [job, header] of headers) {
-      const value = allFinished(header.owners) ? finalHeader(header, "done") : header;
+      const value = allFinished(header.owners) ? doneHeader(header, clock.wall()) : header;
       put(job.key, mirror.rows.get(job.key)?.version ?? 0, value);
       batch.headers.push({ id: job.id, header: value });
     }
--- a/src/part/job.ts
+++ b/src/part/job.ts
@@ -13,18 +13,22 @@
   /** Failures in a row, on whatever machine. */
   failures = 0;
   notBefore = 0;
+  /** Time of day of acceptance. */
+  readonly at: number;
+  #last: Header;
 
   constructor(
     readonly id: string,
     readonly spec: JobSpec,
-    /** Time of day of acceptance. */
-    readonly at: number,
+    header: Header,
     readonly mirror: Mirror,
     public waitingSince: number,
     targets: Targets,
   ) {
     this.key = keys.job(id);
-    this.due = dueOf(spec, at, targets);
+    this.#last = header;
+    this.at = header.at;
+    this.due = dueOf(spec, this.at, targets);
   }
 
   /**
@@ -33,7 +37,12 @@
    * later version it undid a move, and a chunk had two owners.
    */
   get header(): Header {
-    return this.mirror.rows.get(this.key)!.value as Header;
+    const row = this.mirror.rows.get(this.key);
+    if (row !== undefined) this.#last = row.value as Header;
+    // Its header is gone: it has been over for so long that it was archived, and whoever holds this
+    // was out of touch meanwhile.
+    else if (this.#last.status === "open") this.#last = { ...this.#last, status: "cancelled" };
+    return this.#last;
   }
 
   get open(): boolean {
--- a/src/part/ledger.ts
+++ b/src/part/ledger.ts
@@ -62,7 +62,7 @@
     let job = this.jobs.get(id);
     if (job === undefined) {
       const { mirror, clock, targets } = this.ctx;
-      job = new Job(id, header.spec, header.at, mirror, clock.now(), targets);
+      job = new Job(id, header.spec, header, mirror, clock.now(), targets);
       this.jobs.set(id, job);
     }
     const chunks: number[] = [];
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -5,7 +5,7 @@
 import type { ChunkState } from "../jobs/chunk.js";
 import { type Header, isHeader, partChar } from "../jobs/header.js";
 import { chunkName, decodePage, isPage } from "../jobs/page.js";
-import { keys } from "../state/keys.js";
+import { HEADERS, keys } from "../state/keys.js";
 import type { Row } from "../state/store.js";
 import type * as wire from "../wire/workers.js";
 import { Balancing, kindsOf } from "./balancing.js";
@@ -18,6 +18,7 @@
 import { Preempting } from "./preempting.js";
 import { Quota } from "./quota.js";
 import type { Need, Summary } from "./summary.js";
+import { Tidying } from "./tidying.js";
 import { Workers } from "./workers.js";
 import { roomsOf, starvedOf, withdrawAllowances } from "./yielding.js";
 
@@ -51,6 +52,7 @@
   readonly #balancing: Balancing;
   readonly #preempting: Preempting;
   readonly #commits: Commits;
+  readonly #tidying: Tidying;
   readonly #loading = new Set<string>();
   #tickAt = 0;
   #timerSet = false;
@@ -81,10 +83,11 @@
       (outcome) => this.tell({ kind: "settled", outcome }),
       () => this.stopped,
     );
+    this.#tidying = new Tidying(ctx, this.#ledger, (id) => this.#awaits(id));
     const kept = this.#read(records);
     for (const [key, row] of ctx.mirror.rows) {
-      if (key.startsWith("w/j/") && isHeader(row.value))
-        this.#takeIn(key.slice(4), row.value, kept);
+      if (key.startsWith(HEADERS) && isHeader(row.value))
+        this.#takeIn(key.slice(HEADERS.length), row.value, kept);
     }
     // Machines returned before our time: nothing of theirs is left.
     for (const machine of ctx.gone) this.#workers.gone(machine);
@@ -169,6 +172,7 @@
   #takeIn(id: string, header: Header, records: Map<string, Kept> | null): void {
     const missing = this.#ledger.missing(id, header);
     if (missing === null) return;
+    if (header.status === "cancelled") this.#tidying.add(id);
     const { job, chunks } = missing;
     for (const i of chunks) {
       const key = keys.handover(this.ctx.index, id, i);
@@ -183,6 +187,13 @@
     if (header.status === "cancelled") this.#workers.cancel(job);
   }
 
+  /** Whether a chunk of a job is on its way here from another part. */
+  #awaits(id: string): boolean {
+    const prefix = `${keys.records(this.ctx.index)}m/${id}/`;
+    for (const key of this.#loading) if (key.startsWith(prefix)) return true;
+    return false;
+  }
+
   #adopt(job: Job, index: number, kept: Kept | null): void {
     const chunk = this.#ledger.adopt(job, index, kept?.state ?? null);
     const { limits, rules } = this.ctx;
@@ -273,6 +284,7 @@
     this.#workers.sendOrders();
     this.#summarize();
     if (!this.#commits.flush()) this.#soon(this.ctx.reportMs / 10);
+    this.#tidying.run();
   }
 
   #onSettled(outcome: Outcome): void {
--- /dev/null
+++ b/src/part/tidying.ts
@@ -0,0 +1,79 @@
+import type { Header } from "../jobs/header.js";
+import { isHeader, partChar, tidied } from "../jobs/header.js";
+import { keys } from "../state/keys.js";
+import { schemaOf } from "../state/schema.js";
+import type { PartContext } from "./context.js";
+import type { Ledger } from "./ledger.js";
+
+/**
+ * Writes into the headers of cancelled jobs that this part has nothing of them any more: once no
+ * part has, a header may be archived. Nothing waits for it, so it takes only what is to spare. A
+ * write that is not answered, or is applied late, does no harm: what has gone does not come back.
+ */
+export class Tidying {
+  readonly #left = new Set<string>();
+  #busy = false;
+
+  constructor(
+    readonly ctx: PartContext,
+    readonly ledger: Ledger,
+    /** Whether a chunk of the job is still on its way here. */
+    readonly loading: (id: string) => boolean,
+  ) {}
+
+  /** A cancelled job that names this part. */
+  add(id: string): void {
+    this.#left.add(id);
+  }
+
+  get left(): number {
+    return this.#left.size;
+  }
+
+  run(): void {
+    // While there is no archive nobody asks for it.
+    if (this.#busy || this.#left.size === 0 || schemaOf(this.ctx.mirror).version === 1) return;
+    const { writes, limits } = this.ctx.store;
+    const most = Math.min(limits.ops, Math.max(1, Math.floor(writes.burst / 4)));
+    const chosen: { key: string; version: number; header: Header }[] = [];
+    let bytes = 0;
+    for (const id of this.#left) {
+      if (this.ledger.jobs.has(id) || this.loading(id)) continue;
+      const key = keys.job(id);
+      const row = this.ctx.mirror.rows.get(key);
+      const header = row !== undefined && isHeader(row.value) ? row.value : null;
+      if (header === null || !header.owners.includes(partChar(this.ctx.index))) {
+        this.#left.delete(id);
+        continue;
+      }
+      const next = tidied(header, this.ctx.index);
+      bytes += 512 + Buffer.byteLength(JSON.stringify(next));
+      if (chosen.length >= most || bytes > limits.txnBytes) break;
+      chosen.push({ key, version: row!.version, header: next });
+    }
+    if (chosen.length === 0 || !writes.take(chosen.length, writes.burst / 2)) return;
+    this.#busy = true;
+    void this.#write(chosen).finally(() => {
+      this.#busy = false;
+    });
+  }
+
+  async #write(chosen: { key: string; version: number; header: Header }[]): Promise<void> {
+    const { store, mirror, index, token, log } = this.ctx;
+    try {
+      const result = await store.transact(
+        [
+          { key: keys.claim(index), version: token },
+          ...chosen.map(({ key, version }) => ({ key, version })),
+        ],
+        chosen.map(({ key, header }) => ({ put: key, value: header })),
+      );
+      if (!result.ok) return;
+      for (const { key, header } of chosen) {
+        mirror.apply({ key, value: header, version: result.revision, deleted: false });
+      }
+    } catch (error) {
+      log.debug({ why: String(error) }, "tidying waits");
+    }
+  }
+}
--- a/src/settings/operators.ts
+++ b/src/settings/operators.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from "node:fs";
+import type { ArchiveOptions } from "../controller/index.js";
 import type { Extension } from "../extension/index.js";
 import { type Settings, SettingsError } from "./settings.js";
 import {
@@ -30,6 +31,8 @@
 export interface Operators {
   tuning: Tuning | undefined;
   extensions: Extension[];
+  /** When jobs that are over are archived, if a file says so. */
+  archive?: ArchiveOptions;
 }
 
 /** Names of the fields at the top of a file, without comments, strings and what is in braces. */
@@ -76,5 +79,6 @@
   );
   const extensions = doors.map(({ schema, open }) => open(raw[schema.field], settings, refuse));
   const extra = extensions.flatMap(({ teams }) => [...teams]);
-  return { tuning: build(raw, settings.params.teams, refuse, extra), extensions };
+  const tuning = build(raw, settings.params.teams, refuse, extra);
+  return { tuning, extensions, archive: tuning.archive ?? undefined };
 }
--- a/src/settings/tuning.ts
+++ b/src/settings/tuning.ts
@@ -44,11 +44,19 @@
   optional double headroom = 2;
 }
 
+message Archive {
+  // Jobs that are over and stay among the watched keys.
+  optional uint32 keep = 1;
+  // How long each of them stays there at the least.
+  optional double age_s = 2;
+}
+
 message Tuning {
   repeated Group group = 1;
   repeated Team team = 2;
   optional Preemption preemption = 3;
   optional Rental rental = 4;
+  optional Archive archive = 5;
   // Messages of optional packages follow, from number 100.
 %PACKAGES%}
 `;
@@ -78,8 +86,13 @@
   groups: Group[];
   preemption: { evenOut: boolean; patience: number };
   rental: { dear: number; headroom: number };
+  /** Null: jobs that are over stay where they are. */
+  archive: { keep: number; ageMs: number } | null;
 }
 
+/** What an empty `archive {}` stands for. */
+export const defaultArchive = { keep: 1000, ageMs: 600_000 };
+
 interface RawGroup {
   name: string;
   parent?: string;
@@ -93,6 +106,7 @@
   team?: RawGroup[];
   preemption?: { even_out?: boolean; patience?: number };
   rental?: { dear?: number; headroom?: number };
+  archive?: { keep?: number; age_s?: number };
 }
 
 /** What holds without a file: every team has weight 1, and all are in one group. */
@@ -271,5 +285,12 @@
       dear: ratio(raw.rental?.dear, 1.5, 1, "dear"),
       headroom: ratio(raw.rental?.headroom, 1.3, 1, "headroom"),
     },
+    archive:
+      raw.archive === undefined
+        ? null
+        : {
+            keep: raw.archive.keep ?? defaultArchive.keep,
+            ageMs: ratio(raw.archive.age_s, defaultArchive.ageMs / 1000, 0, "age_s") * 1000,
+          },
   };
 }
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -1,7 +1,10 @@
 /** Everything under `w/` is watched by every controller; task records under `c/` are not. */
 export const WATCHED = "w/";
+/** Headers of jobs, open ones and those that were over lately. */
+export const HEADERS = "w/j/";
 export const keys = {
   claim: (part: number): string => `w/p/${part}`,
+  /** Leadership and machine types as the first schema has them; see `schema.ts`. */
   leader: "w/lead",
   node: (name: string): string => `w/n/${name}`,
   job: (id: string): string => `w/j/${id}`,
@@ -10,6 +13,12 @@
   /** Machines that the cloud has confirmed to be gone, by the call that returned them. */
   gone: (call: string): string => `w/g/${call}`,
   types: "w/types",
+  schema: "w/schema",
+  /** The same two from the second schema on. */
+  leader2: "w/2/lead",
+  types2: "w/2/types",
+  /** Archived jobs, in leaves by their last id (`src/archive`); nobody watches them. */
+  archive: "a/j/",
   /**
    * Changes with every cancellation, so that a placement depends on one key and not on the header
    * of every job. It sorts before the headers: whoever lists the keys page by page knows every
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -1,25 +1,48 @@
 import { type Clock, sleep } from "../clock.js";
 import type { Log } from "../log.js";
 import { WATCHED } from "./keys.js";
-import { type Event, Refused, type Store } from "./store.js";
+import { type Event, Refused, type Row, type Store } from "./store.js";
 
 type Listener = (event: Event) => void;
 
+const PAGE = 1000; // PROTOCOL: no more in a response
+
+/**
+ * What this controller had read at a moment. A row that was asked for under one mark counts only
+ * under the same one: what a listing has passed over since may be newer.
+ */
+export type Mark = number;
+
 /**
- * A copy of all watched keys, kept current by one long-polling watch. `contactAt` is the latest
+ * A copy of the watched keys, kept current by one long-polling watch. `contactAt` is the latest
  * moment up to which this controller is known to have seen every change.
+ *
+ * Jobs that are over need not be kept: `forget` takes a row out of memory, and `passes` keeps rows
+ * out that a first listing finds. Whoever asks for such a job reads it from the store.
  */
 export class Mirror {
   readonly rows = new Map<string, { value: unknown; version: number }>();
   revision = 0;
   contactAt = Number.NEGATIVE_INFINITY;
   ready = false;
-  /** When keys were deleted: an answer that is older must not bring one back. */
-  readonly #removed = new Map<string, number>();
+  /** Whether a row that a listing found need not be kept; set by who knows what rows mean. */
+  passes: (row: Row) => boolean = () => false;
+  /**
+   * Versions of keys that were deleted or forgotten: an answer that is older must not bring one
+   * back. In two generations: an answer comes within a request's deadline or not at all, so what
+   * is older than `#keepMs` guards against nothing.
+   */
+  #removed = new Map<string, number>();
+  #removedBefore = new Map<string, number>();
+  #turnedAt: number;
+  readonly #keepMs: number;
   readonly #listeners: { prefix: string; run: Listener }[] = [];
   #waiters: { revision: number; done: () => void }[] = [];
   #reachable = true;
   #stopped = false;
+  #epoch = 0;
+  /** How far reading all keys has come: after which key, and which known ones are still to come. */
+  #listing: { known: string[]; at: number; after: string } | null = null;
 
   constructor(
     readonly store: Store,
@@ -27,7 +50,12 @@
     readonly log: Log,
     /** How long one watch waits; also how old the proof of contact may get on a quiet day. */
     readonly waitMs: number,
-  ) {}
+  ) {
+    // A watch waits half a report; a request is given up after a report. Thirty of them is far more
+    // than any answer takes.
+    this.#keepMs = waitMs * 60;
+    this.#turnedAt = clock.now();
+  }
 
   on(prefix: string, run: Listener): void {
     this.#listeners.push({ prefix, run });
@@ -41,19 +69,48 @@
     });
   }
 
+  /** To be taken before something is asked whose answer is then handed to `learn`. */
+  mark(): Mark {
+    return this.#epoch;
+  }
+
+  /**
+   * Takes in what an answer told, unless the keys have been listed meanwhile. Without this, an
+   * open header, read just before a listing passed over the same header as done, would have stayed
+   * in memory as open for good, and its tasks would have run once more.
+   */
+  learn(event: Event, mark: Mark): void {
+    if (this.ready && mark === this.#epoch) this.apply(event);
+  }
+
+  /** How many deletions are still remembered. */
+  get remembered(): number {
+    return this.#removed.size + this.#removedBefore.size;
+  }
+
+  /** Takes a row out of memory, without a word to anybody; the store still has it. */
+  forget(key: string): void {
+    const known = this.rows.get(key);
+    if (known === undefined) return;
+    this.rows.delete(key);
+    this.#removed.set(key, known.version);
+  }
+
   /** Takes in one state of one key; older ones than already known are ignored. */
   apply(event: Event): void {
-    const known = this.rows.get(event.key);
-    const last = known?.version ?? this.#removed.get(event.key) ?? 0;
-    if (last >= event.version) return;
-    if (event.deleted) {
-      this.#removed.set(event.key, event.version);
-      if (!this.rows.delete(event.key)) return;
+    const { key, version, deleted } = event;
+    const known = this.rows.get(key);
+    const last = known?.version ?? this.#removed.get(key) ?? this.#removedBefore.get(key) ?? 0;
+    if (last >= version) return;
+    if (deleted) {
+      this.#removed.set(key, version);
+      if (!this.rows.delete(key)) return;
     } else {
-      this.#removed.delete(event.key);
-      this.rows.set(event.key, { value: event.value, version: event.version });
+      this.#removed.delete(key);
+      this.#removedBefore.delete(key);
+      this.rows.set(key, { value: event.value, version });
     }
-    for (const { prefix, run } of this.#listeners) if (event.key.startsWith(prefix)) run(event);
+    for (const { prefix, run } of this.#listeners) if (key.startsWith(prefix)) run(event);
   }
 
   stop(): void {
@@ -61,25 +118,23 @@
   }
 
   async run(): Promise<void> {
-    let listed = false;
     while (!this.#stopped) {
       const sentAt = this.clock.now();
       try {
-        if (!listed) {
-          await this.#relist();
-          listed = true;
-        } else {
-          const seen = await this.store.watch(WATCHED, this.revision, this.waitMs);
-          if (seen === null) {
-            listed = false;
-            continue;
-          }
-          for (const event of seen.events) this.apply(event);
-          this.revision = Math.max(this.revision, seen.revision);
+        if (!this.ready) {
+          if (!(await this.#read())) continue;
+          this.#listing = null;
+          this.#epoch++;
+          this.ready = true;
+        } else if (!(await this.#follow(this.waitMs))) {
+          // The service has forgotten changes that we have not seen: the keys are read again.
+          this.ready = false;
+          this.#epoch++;
+          continue;
         }
         this.contactAt = sentAt;
-        this.ready = true;
         this.#wake();
+        this.#turn();
         if (!this.#reachable) this.log.info("state service answers again");
         this.#reachable = true;
       } catch (error) {
@@ -90,21 +145,63 @@
     }
   }
 
-  async #relist(): Promise<void> {
-    const { rows, revision } = await this.store.list(WATCHED);
-    const present = new Set<string>();
-    for (const row of rows) {
-      present.add(row.key);
-      this.apply({ ...row, deleted: false });
-    }
-    // A key we knew that is missing from the list was deleted after we last heard of it. One
-    // that we learned of later than the list's revision is left alone.
-    for (const [key, row] of this.rows) {
-      if (!present.has(key) && row.version <= revision) {
-        this.apply({ key, value: undefined, version: revision + 0.5, deleted: true });
+  /** Takes in the changes since the last ones; false when the service has forgotten some of them. */
+  async #follow(waitMs: number): Promise<boolean> {
+    const seen = await this.store.watch(WATCHED, this.revision, waitMs);
+    if (seen === null) return false;
+    for (const event of seen.events) this.apply(event);
+    this.revision = Math.max(this.revision, seen.revision);
+    return true;
+  }
+
+  /** Deletions that were noted a while ago guard against nothing any more. */
+  #turn(): void {
+    const now = this.clock.now();
+    if (now - this.#turnedAt < this.#keepMs) return;
+    this.#turnedAt = now;
+    this.#removedBefore = this.#removed;
+    this.#removed = new Map();
+  }
+
+  /**
+   * Reads all keys, page by page, in their order: whoever reads "w/cancels" has not read a header
+   * yet, and knows in the end every cancellation that its version stands for. Between pages it
+   * follows the changes, so that no more of them pass than the service remembers, however long
+   * reading takes. When a page does not come, reading goes on there later. False when changes were
+   * missed all the same, and reading has to begin anew.
+   */
+  async #read(): Promise<boolean> {
+    for (;;) {
+      const listing = this.#listing;
+      const page = await this.store.page(WATCHED, listing?.after ?? null, PAGE);
+      // Pages are read at different revisions: changes are followed from the oldest.
+      if (listing === null) this.revision = page.revision;
+      const { known, at } = listing ?? { known: [...this.rows.keys()].sort(), at: 0 };
+      const last = page.rows.at(-1)?.key;
+      const after = page.more && last !== undefined ? last : null;
+      const present = new Set<string>();
+      for (const row of page.rows) {
+        present.add(row.key);
+        if (!this.rows.has(row.key) && this.passes(row)) continue;
+        this.apply({ ...row, deleted: false });
+      }
+      // A key that we knew and that is missing was deleted after we last heard of it. One that we
+      // learned of later than the page's revision is left alone.
+      let next = at;
+      for (; next < known.length && (after === null || known[next]! <= after); next++) {
+        const key = known[next]!;
+        const row = present.has(key) ? undefined : this.rows.get(key);
+        if (row !== undefined && row.version <= page.revision) {
+          this.apply({ key, value: undefined, version: page.revision + 0.5, deleted: true });
+        }
+      }
+      if (after === null) return true;
+      this.#listing = { known, at: next, after };
+      if (!(await this.#follow(0))) {
+        this.#listing = null;
+        return false;
       }
     }
-    this.revision = revision;
   }
 
   #wake(): void {
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -3,7 +3,7 @@
 import * as wire from "../wire/store.js";
 import { Budget } from "./budget.js";
 
-export type { Change, Condition, Event, Row } from "../wire/store.js";
+export type { Change, Condition, Event, Page, Row } from "../wire/store.js";
 
 /** Certainly not executed: an outage, or over a rate limit. */
 export class Refused extends Error {}
@@ -36,6 +36,8 @@
   divide(controllers: number): void;
   get(key: string): Promise<wire.Row | null>;
   list(prefix: string): Promise<{ rows: wire.Row[]; revision: number }>;
+  /** Up to `most` rows (1,000 and 512 KiB at the most) in order of keys, as they were at one revision. */
+  page(prefix: string, after: string | null, most: number): Promise<wire.Page>;
   transact(when: wire.Condition[], then: wire.Change[]): Promise<TxnResult>;
   openLease(ttlMs: number): Promise<number | string>;
   renewLease(lease: number | string, timeoutMs: number): Promise<void>;
@@ -99,9 +101,7 @@
     let after: string | null = null;
     let revision = Number.POSITIVE_INFINITY;
     for (;;) {
-      const answer: Answer = await this.#call("GET", wire.paths.list(prefix, after, 1000));
-      const page = answer.status === 200 ? wire.parsePage(answer.body) : null;
-      if (page === null) throw new Garbled(`list ${prefix}: ${answer.status}`);
+      const page: wire.Page = await this.page(prefix, after, 1000);
       rows.push(...page.rows);
       // Pages are read at different revisions: a watch must start from the oldest.
       revision = Math.min(revision, page.revision);
@@ -111,6 +111,13 @@
     }
   }
 
+  async page(prefix: string, after: string | null, most: number): Promise<wire.Page> {
+    const answer = await this.#call("GET", wire.paths.list(prefix, after, most));
+    const page = answer.status === 200 ? wire.parsePage(answer.body) : null;
+    if (page === null) throw new Garbled(`list ${prefix}: ${answer.status}`);
+    return page;
+  }
+
   async transact(when: wire.Condition[], then: wire.Change[]): Promise<TxnResult> {
     const answer = await this.#call(
       "POST",
--- a/src/submit/index.ts
+++ b/src/submit/index.ts
@@ -11,6 +11,7 @@
 import { Desk } from "./site/desk.js";
 import { Matcher } from "./site/matcher.js";
 import { SubmitMatching } from "./site/matching.js";
+import { placeOf } from "./site/records.js";
 import { readSettings, type SubmitSettings, schema } from "./site/settings.js";
 import { Steward } from "./site/steward.js";
 
@@ -69,6 +70,12 @@
       find: api.find,
       matching: new SubmitMatching(core, book, desk, matcher),
       lead: (leading) => new Steward(core, this.settings, book, desk, matcher, leading),
+      // Until a cluster is forgotten, it shows how each of its jobs ended. Which clusters there are
+      // is not known before all keys have been read.
+      wants: (id) => {
+        const place = placeOf(id);
+        return place !== null && (!core.mirror.ready || book.clusters.has(place.cluster));
+      },
       refuses: ({ match }) => (match === undefined ? null : notNow()),
       status: () => ({
         submit: { clusters: book.clusters.size, evaluations: matcher.evaluations },
--- a/src/submit/site/desk.ts
+++ b/src/submit/site/desk.ts
@@ -81,9 +81,6 @@
   async taken(id: string): Promise<boolean> {
     const { store, mirror } = this.core;
     if (mirror.rows.has(coreKeys.job(id))) return true;
-    const row = await store.get(coreKeys.job(id));
-    if (row === null) return false;
-    mirror.apply({ ...row, deleted: false });
-    return true;
+    return (await store.get(coreKeys.job(id))) !== null;
   }
 }
--- a/src/submit/site/steward.ts
+++ b/src/submit/site/steward.ts
@@ -2,7 +2,6 @@
 import { sleep } from "../../clock.js";
 import type { Core, Leading } from "../../extension/index.js";
 import type { Header } from "../../jobs/header.js";
-import { keys as coreKeys } from "../../state/keys.js";
 import { type Book, isOver, type JobState } from "./book.js";
 import type { Desk } from "./desk.js";
 import type { Matcher } from "./matcher.js";
@@ -111,7 +110,7 @@
   }
 
   get #guard(): { key: string; version: number }[] {
-    return [{ key: coreKeys.leader, version: this.leading.token }];
+    return [{ key: this.leading.key, version: this.leading.token }];
   }
 
   async #run(): Promise<void> {
--- a/src/wire/store.ts
+++ b/src/wire/store.ts
@@ -18,6 +18,13 @@
   deleted: boolean;
 }
 
+/** A stretch of the keys under a prefix. */
+export interface Page {
+  rows: Row[];
+  more: boolean;
+  revision: number;
+}
+
 export const paths = {
   get: (key: string): string => `/kv/${key}`,
   list: (prefix: string, after: string | null, limit: number): string =>
@@ -53,7 +60,7 @@
   return version === null ? null : { key: body.path, value: body.data, version };
 }
 
-export function parsePage(body: unknown): { rows: Row[]; more: boolean; revision: number } | null {
+export function parsePage(body: unknown): Page | null {
   if (!isMap(body) || !Array.isArray(body.rows)) return null;
   const revision = integer(body.ledgerRev);
   if (revision === null) return null;
--- a/test/submit-world.test.ts
+++ b/test/submit-world.test.ts
@@ -54,9 +54,8 @@
   const clusters = await opened();
   const { world } = clusters;
   const file = `${HEAD}arguments = $(x)\nqueue x in (1 2 3)\n`;
-  let posted = 0;
   // The sender is gone after its second job.
-  clusters.lose = (path) => path === "/api/jobs" && ++posted > 1;
+  clusters.lose = (path) => path === "/api/jobs" && world.state.rows.has("w/j/wk-c1.1");
   await assert.rejects(clusters.wait(clusters.submit("cut", file, 5000)), Unanswered);
   const commit = await clusters.wait(world.ask(0, "POST", "/submit/clusters/1/commit", {}));
   assert.equal(commit?.status, 409, "it is not whole");
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -7,6 +7,7 @@
   type Condition,
   type Event,
   NoLease,
+  type Page,
   Refused,
   type Row,
   type Store,
@@ -63,13 +64,18 @@
     });
   }
 
-  list(prefix: string): Promise<{ rows: Row[]; revision: number }> {
+  async list(prefix: string): Promise<{ rows: Row[]; revision: number }> {
+    return this.page(prefix, null, Number.POSITIVE_INFINITY);
+  }
+
+  page(prefix: string, after: string | null, most: number): Promise<Page> {
     return this.#exchange(() => {
-      const rows = [...this.state.rows]
-        .filter(([key]) => key.startsWith(prefix))
-        .map(([key, { value, version }]) => ({ key, value: copy(value), version }))
-        .sort((a, b) => (a.key < b.key ? -1 : 1));
-      return { rows, revision: this.state.revision };
+      const { rows, more } = this.state.list(prefix, after ?? "", most);
+      return {
+        rows: rows.map(([key, { value, version }]) => ({ key, value: copy(value), version })),
+        more,
+        revision: this.state.revision,
+      };
     });
   }
 
