--- a/src/archive/begin.ts
+++ b/src/archive/begin.ts
@@ -32,7 +32,7 @@
   const result = await store.transact(
     [
       { key: keys.schema, version: 0 },
-      { key: leading.key, version: leading.token },
+      leading.claim,
       { key: keys.types, version: types?.version ?? 0 },
       { key: last, version: 0 },
       ...presence,
--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -6,15 +6,15 @@
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
 import { typesKey } from "../state/schema.js";
-import type { Store } from "../state/store.js";
+import type { Condition, Store } from "../state/store.js";
 import * as wire from "../wire/cloud.js";
 import { Forgetting } from "./forgetting.js";
 import { type Offer, plan } from "./plan.js";
 
 export interface FleetContext {
-  /** The leader's claim: its version and its key. */
   token: number;
-  key: string;
+  /** The leader's claim. */
+  claim: Condition;
   summaries: Summaries;
   cloud: Caller;
   store: Store;
@@ -76,9 +76,9 @@
     this.#startedAt = ctx.clock.now();
     this.#demandAt = this.#startedAt;
     this.#shortSince = this.#startedAt;
-    const { store, mirror, clock, key, token: version } = ctx;
+    const { store, mirror, clock, claim } = ctx;
     const keepMs = Math.max(50 * ctx.leaseMs, 10 * ctx.listLagMs);
-    this.#forgetting = new Forgetting(store, mirror, clock, { key, version }, keepMs);
+    this.#forgetting = new Forgetting(store, mirror, clock, claim, keepMs);
   }
 
   start(): void {
@@ -155,10 +155,7 @@
     const key = typesKey(this.ctx.mirror);
     const row = this.ctx.mirror.rows.get(key);
     if (JSON.stringify(row?.value) === JSON.stringify(shown)) return;
-    await this.ctx.store.transact(
-      [{ key: this.ctx.key, version: this.ctx.token }],
-      [{ put: key, value: shown }],
-    );
+    await this.ctx.store.transact([this.ctx.claim], [{ put: key, value: shown }]);
   }
 
   async #readList(): Promise<void> {
--- a/src/cloud/forgetting.ts
+++ b/src/cloud/forgetting.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../clock.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
-import type { Store } from "../state/store.js";
+import type { Condition, Store } from "../state/store.js";
 
 /**
  * Forgets machines that were returned long ago. Each is remembered so that its tasks are known to
@@ -21,7 +21,7 @@
     readonly mirror: Mirror,
     readonly clock: Clock,
     /** The leader's claim. */
-    readonly claim: { key: string; version: number },
+    readonly claim: Condition,
     /** Far longer than lists lag and reports take on their way. */
     readonly keepMs: number,
   ) {}
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -11,12 +11,14 @@
 import { Membership } from "../membership/membership.js";
 import { Metrics } from "../metrics.js";
 import type { PartContext } from "../part/part.js";
+import { settleMsOf } from "../part/settling.js";
 import { isSummary, Summaries, type Summary } from "../part/summary.js";
 import type { Frame } from "../peer/frames.js";
 import { clusterOf, type Settings } from "../settings/settings.js";
 import { defaultTuning, type Tuning } from "../settings/tuning.js";
 import { keys } from "../state/keys.js";
 import { Mirror } from "../state/mirror.js";
+import { restoredOf, tokenOf } from "../state/restored.js";
 import { schemaOf, unreadable } from "../state/schema.js";
 import type { Store } from "../state/store.js";
 import type { MachineType } from "../wire/cloud.js";
@@ -133,7 +135,7 @@
     this.#owners = new Owners(
       core,
       () => this.#membership,
-      (index, token, lost) => this.#contextOf(index, token, lost),
+      (index, stamp, lost) => this.#contextOf(index, stamp, lost),
     );
     const { parts } = this.#owners;
     this.#gone = new Gone(mirror, (machines) => {
@@ -156,9 +158,9 @@
       clock,
       log,
       {
-        gained: (index, token) => void this.#owners.gained(index, token),
+        gained: (index, stamp) => void this.#owners.gained(index, stamp),
         lost: (index, why) => this.#owners.lost(index, why),
-        leading: (token) => this.#lead(token),
+        leading: (stamp) => this.#lead(stamp),
         deposed: () => this.#depose(),
       },
       params.workers.lease_s,
@@ -220,8 +222,8 @@
   #hear(part: number, summary: Summary): void {
     this.#core.summaries.offer(part, summary);
     // Its owner speaks with a newer token than ours: we have been replaced, and out of touch.
-    const token = this.#membership.owned.get(part);
-    if (token !== undefined && summary.token > token) {
+    const stamp = this.#membership.owned.get(part);
+    if (stamp !== undefined && summary.token > tokenOf(this.#core.mirror, stamp)) {
       this.#membership.owned.delete(part);
       this.#owners.lost(part, "another owner speaks");
     }
@@ -250,12 +252,16 @@
 
   // ---- parts and leadership --------------------------------------------------------------
 
-  #contextOf(index: number, token: number, lost: (why: string) => void): PartContext {
+  #contextOf(index: number, stamp: number, lost: (why: string) => void): PartContext {
     const { store, mirror, clock, log, layout, summaries } = this.#core;
     const { params } = this.#settings;
+    const token = tokenOf(mirror, stamp);
     return {
       index,
       token,
+      claim: { key: keys.claim(index), version: stamp },
+      settleMs: settleMsOf(params.workers),
+      settling: () => restoredOf(mirror).state === "settling",
       store,
       mirror,
       clock,
@@ -287,16 +293,17 @@
     };
   }
 
-  #lead(token: number): void {
+  #lead(stamp: number): void {
     this.#depose();
     const { store, mirror, clock, log, summaries } = this.#core;
     const { params } = this.#settings;
-    const valid = (): boolean => this.#membership.valid() && this.#membership.leaderToken === token;
+    const token = tokenOf(mirror, stamp);
+    const valid = (): boolean => this.#membership.valid() && this.#membership.leaderStamp === stamp;
     log.info({ token }, "leading");
-    const key = this.#membership.leaderKey;
+    const claim = { key: this.#membership.leaderKey, version: stamp };
     this.#fleet = new Fleet({
       token,
-      key,
+      claim,
       summaries,
       cloud: this.#links.cloud,
       store,
@@ -315,8 +322,8 @@
     });
     this.#fleet.start();
     for (const { lead } of this.#attached)
-      if (lead !== undefined) this.#led.push(lead({ token, key, valid }));
-    this.#led.push(this.#history.lead({ token, key, valid }));
+      if (lead !== undefined) this.#led.push(lead({ token, claim, valid }));
+    this.#led.push(this.#history.lead({ token, claim, valid }));
   }
 
   /** Whether a machine that could be rented would do for a job, empty as it comes. */
@@ -366,7 +373,9 @@
   #health(): Reply {
     const leaseMs = this.#settings.params.workers.lease_s * 1000;
     const fresh = this.#core.contactAge() < leaseMs / 2;
-    if (this.#types.size > 0 && fresh) return { status: 200, body: { ok: true } };
+    const { state } = restoredOf(this.#core.mirror);
+    const usable = state === "none" || state === "settled";
+    if (this.#types.size > 0 && fresh && usable) return { status: 200, body: { ok: true } };
     return retryLater(503, "not ready");
   }
 
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -15,6 +15,7 @@
 import type { Part } from "../part/part.js";
 import { roomOf } from "../part/summary.js";
 import { keys } from "../state/keys.js";
+import { restoredOf } from "../state/restored.js";
 import { Refused } from "../state/store.js";
 import {
   isJobId,
@@ -33,6 +34,8 @@
 /** How often something is tried while others change what it depends on. */
 const TRIES = 4;
 
+const RESTORING = "restored records are being completed";
+
 const stateOf = (found: Found): JobStatus =>
   "past" in found ? found.past.status : shownStatus(found.header);
 
@@ -53,6 +56,12 @@
     return row !== undefined && isHeader(row.value) ? row.value : null;
   }
 
+  /** Whether the records were restored and do not tell of everything yet. */
+  #closed(): boolean {
+    const { state } = restoredOf(this.core.mirror);
+    return state === "filling" || state === "settling";
+  }
+
   /**
    * The newest state of a job, wherever it is kept. Final states are safe to remember; others are
    * read anew. What is in the archive was over before its header went.
@@ -83,6 +92,7 @@
     const parsed = parseSubmission(body);
     if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
     const { id, spec } = parsed.value;
+    if (this.#closed()) return retryLater(503, RESTORING);
     try {
       if (this.#known(id) === null) {
         if (this.core.types().size === 0) return retryLater(503, "machine types not known yet");
@@ -222,6 +232,10 @@
     try {
       const known = await this.#current(id);
       if (known === null) return { status: 404, body: { error: "no such job" } };
+      // A worker may still prove that it is done.
+      if (this.#closed() && ["pending", "running"].includes(stateOf(known))) {
+        return retryLater(503, RESTORING);
+      }
       const counts =
         "past" in known ? { done: known.past.done, running: 0 } : this.#counts(id, known.header);
       return { status: 200, body: statusBody(id, stateOf(known), counts) };
@@ -247,6 +261,7 @@
   async cancel(id: string): Promise<Reply> {
     const { store, mirror, log } = this.core;
     if (!isJobId(id)) return { status: 404, body: { error: "no such job" } };
+    if (this.#closed()) return retryLater(503, RESTORING);
     try {
       for (let attempt = 0; attempt < TRIES; attempt++) {
         const known = await this.#current(id);
--- a/src/extension/index.ts
+++ b/src/extension/index.ts
@@ -12,7 +12,7 @@
 import type { Settings } from "../settings/settings.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
-import type { Store } from "../state/store.js";
+import type { Condition, Store } from "../state/store.js";
 import type { MachineType } from "../wire/cloud.js";
 import type { JobSpec } from "../wire/jobs.js";
 import type { MachineKind, Room } from "../workers/machine.js";
@@ -96,9 +96,10 @@
 
 /** What a package does for the leader, as long as a leader's claim holds. */
 export interface Leading {
-  /** The fencing token: the version of the leader's claim; and the claim's key. */
+  /** The fencing token. */
   token: number;
-  key: string;
+  /** The leader's claim: what is written on condition of it is written by the leader. */
+  claim: Condition;
   /** Whether we are certainly still the leader. */
   valid(): boolean;
 }
--- /dev/null
+++ b/src/image/check.ts
@@ -0,0 +1,243 @@
+import { CorruptLeaf, decodeLeaf, LAST, lastOf } from "../archive/index.js";
+import type { ChunkState } from "../jobs/chunk.js";
+import { FINISHED, type Header, isHeader, partChar } from "../jobs/header.js";
+import { decodePage, isPage } from "../jobs/page.js";
+import { isSliceRecord, type SliceRecord } from "../quota/slices.js";
+import { HEADERS, keys } from "../state/keys.js";
+import { KNOWN_SCHEMA } from "../state/schema.js";
+import { isJobId } from "../wire/jobs.js";
+import type { Image } from "./collect.js";
+
+/** Something that must not be, and the key that shows it. */
+export interface Finding {
+  key: string;
+  problem: string;
+}
+
+export interface CheckOptions {
+  /** The teams' limits, where the settings are at hand. */
+  limits?: ReadonlyMap<string, { cpus: number; gpus: number }>;
+}
+
+const EPSILON = 1e-6;
+
+/**
+ * Verifies what must hold between the records of one revision (docs/design.md, "Why the rules
+ * hold"): chunks and headers agree, each task is placed at most once, slices are within limits,
+ * archive and headers have no job in common, no token is newer than the revision. A pure function;
+ * an empty list means that all of it holds.
+ */
+export function checkImage(image: Image, { limits }: CheckOptions = {}): Finding[] {
+  const findings: Finding[] = [];
+  const find = (key: string, problem: string): void => {
+    findings.push({ key, problem });
+  };
+  const headers = new Map<string, Header>();
+  const sorted = [...image.rows.keys()].sort();
+  for (const key of sorted) {
+    const { value, version } = image.rows.get(key)!;
+    if (version > image.revision) {
+      find(key, `its stamp ${version} is beyond the revision ${image.revision}`);
+    }
+    if (!key.startsWith(HEADERS)) continue;
+    const id = key.slice(HEADERS.length);
+    const problem = !isJobId(id) ? "not a job's id" : headerProblem(value);
+    if (problem !== null) find(key, problem);
+    else headers.set(id, value as Header);
+  }
+  checkRecords(image, sorted, headers, find);
+  checkArchive(image, sorted, headers, find);
+  checkSlices(image, sorted, limits, find);
+  checkTokens(image, sorted, find);
+  return findings;
+}
+
+type Find = (key: string, problem: string) => void;
+
+function headerProblem(value: unknown): string | null {
+  if (!isHeader(value)) return "not a header";
+  const { status, owners, tasks, chunkSize, spec } = value;
+  if (status !== "open" && status !== "done" && status !== "cancelled") return "an unknown status";
+  if (!Number.isInteger(tasks) || tasks < 1) return `${tasks} tasks`;
+  if (!Number.isInteger(chunkSize) || chunkSize < 1) return `chunks of ${chunkSize} tasks`;
+  if (status === "done") return owners === "" ? null : "done, and yet parts have chunks of it";
+  if (!/^[0-9a-z-]*$/.test(owners)) return `owners that are no parts: ${owners}`;
+  const chunks = Math.ceil(tasks / chunkSize);
+  if (owners.length !== chunks) return `${owners.length} owners of ${chunks} chunks`;
+  if (status === "open" && spec === undefined) return "open without its specification";
+  if (status === "open" && owners.includes("-")) return "open, and yet a part has given it up";
+  return null;
+}
+
+/** Pages and handovers against the headers. */
+function checkRecords(
+  image: Image,
+  sorted: readonly string[],
+  headers: ReadonlyMap<string, Header>,
+  find: Find,
+): void {
+  const pattern = /^c\/(\d+)\/(p|m)\/(.+)$/;
+  const inPage = new Map<string, string>();
+  const placed = new Map<string, string>();
+  for (const key of sorted) {
+    const match = pattern.exec(key);
+    if (match === null) continue;
+    const { value } = image.rows.get(key)!;
+    const part = Number(match[1]);
+    if (!isPage(value)) {
+      find(key, "not a page");
+      continue;
+    }
+    let states: Map<string, ChunkState>;
+    try {
+      states = decodePage(value);
+    } catch (error) {
+      find(key, `a page that cannot be read: ${(error as Error).message}`);
+      continue;
+    }
+    for (const [name, state] of states) {
+      const slash = name.lastIndexOf("/");
+      const id = name.slice(0, slash);
+      const index = Number(name.slice(slash + 1));
+      const header = headers.get(id);
+      if (header === undefined) {
+        find(key, `${name}: a chunk without a header`);
+        continue;
+      }
+      if (header.owners[index] !== partChar(part)) {
+        const owner = header.owners[index];
+        const whose =
+          header.status === "done" || owner === FINISHED
+            ? "is finished"
+            : owner === undefined
+              ? "does not exist"
+              : `belongs to part ${Number.parseInt(owner, 36)}`;
+        find(key, `${name}: by its header this chunk ${whose}`);
+      }
+      const other = inPage.get(name);
+      if (match[2] === "p") {
+        if (other !== undefined) find(key, `${name}: is in ${other} as well`);
+        inPage.set(name, key);
+      }
+      for (const problem of chunkProblems(header, index, state)) find(key, `${name}: ${problem}`);
+      for (const { index: task, machine } of state.live) {
+        const full = `${id}/${index * header.chunkSize + task}`;
+        const where = placed.get(full);
+        // What came along from another part is in a page as well until it is deleted.
+        if (where !== undefined && match[2] === "p" && where !== machine) {
+          find(key, `${full}: placed on ${machine} and on ${where}`);
+        }
+        placed.set(full, machine);
+      }
+    }
+  }
+}
+
+function chunkProblems(header: Header, index: number, state: ChunkState): string[] {
+  const problems: string[] = [];
+  const size = Math.min(header.chunkSize, header.tasks - index * header.chunkSize);
+  const done = new Set<number>();
+  for (const range of state.done === "" ? [] : state.done.split(",")) {
+    const [from, to = from] = range.split("-").map(Number) as [number, number?];
+    if (!(from >= 0 && to >= from && to < size)) {
+      problems.push(`tasks ${range} of ${size} are done`);
+      continue;
+    }
+    for (let task = from; task <= to; task++) done.add(task);
+  }
+  const live = new Set<number>();
+  for (const { index: task, attempt, machine } of state.live) {
+    if (!(task >= 0 && task < size)) problems.push(`task ${task} of ${size} is placed`);
+    if (live.has(task)) problems.push(`task ${task} is placed twice`);
+    if (done.has(task)) problems.push(`task ${task} is done and placed`);
+    if (attempt > state.attempts) problems.push(`attempt ${attempt} of ${state.attempts}`);
+    if (typeof machine !== "string") problems.push(`task ${task} is on no machine`);
+    live.add(task);
+  }
+  return problems;
+}
+
+function checkArchive(
+  image: Image,
+  sorted: readonly string[],
+  headers: ReadonlyMap<string, Header>,
+  find: Find,
+): void {
+  const leaves = sorted.filter((key) => key.startsWith(keys.archive));
+  const schema = image.rows.get(keys.schema)?.value as { version?: unknown } | undefined;
+  if (schema !== undefined && schema?.version !== KNOWN_SCHEMA) {
+    find(keys.schema, `schema ${String(schema?.version)}; this program knows ${KNOWN_SCHEMA}`);
+  }
+  if (schema === undefined) {
+    if (leaves.length > 0) find(leaves[0]!, "an archive that no schema tells of");
+    return;
+  }
+  let from = "";
+  for (const key of leaves) {
+    try {
+      const leaf = decodeLeaf({ key, ...image.rows.get(key)! });
+      if (leaf.from !== from) find(key, `begins behind "${leaf.from}" and not behind "${from}"`);
+      for (const [id] of leaf.entries) {
+        if (headers.has(id)) find(keys.job(id), `is in the archive as well (${key})`);
+      }
+    } catch (error) {
+      if (!(error instanceof CorruptLeaf)) throw error;
+      find(key, error.message);
+    }
+    from = lastOf(key) ?? from;
+  }
+  if (from !== LAST) find(`${keys.archive}${LAST}`, "the last leaf of the archive is missing");
+  if (!image.rows.has(keys.leader)) {
+    find(keys.leader, "nothing keeps programs that do not know the archive from leading");
+  }
+}
+
+function checkSlices(
+  image: Image,
+  sorted: readonly string[],
+  limits: CheckOptions["limits"],
+  find: Find,
+): void {
+  const prefix = keys.quota("");
+  for (const key of sorted) {
+    if (!key.startsWith(prefix)) continue;
+    const { value } = image.rows.get(key)!;
+    if (!isSliceRecord(value)) {
+      find(key, "not slices of a limit");
+      continue;
+    }
+    const slices = Object.entries(value as SliceRecord);
+    for (const [part, [cpus, gpus]] of slices) {
+      if (!(cpus >= 0 && gpus >= 0)) find(key, `part ${part} has ${cpus} CPUs and ${gpus} GPUs`);
+    }
+    const team = decodeURIComponent(key.slice(prefix.length));
+    const limit = limits?.get(team);
+    if (limit === undefined) continue;
+    const cpus = slices.reduce((sum, [, slice]) => sum + slice[0], 0);
+    const gpus = slices.reduce((sum, [, slice]) => sum + slice[1], 0);
+    if (cpus > limit.cpus + EPSILON || gpus > limit.gpus + EPSILON) {
+      find(
+        key,
+        `slices of ${cpus} CPUs and ${gpus} GPUs; the limit is ${limit.cpus}, ${limit.gpus}`,
+      );
+    }
+  }
+}
+
+/** A token is the stamp of a claim; what an owner wrote under it is not older than the claim. */
+function checkTokens(image: Image, sorted: readonly string[], find: Find): void {
+  for (const key of sorted) {
+    const fence = /^c\/(\d+)\/fence$/.exec(key);
+    if (fence === null) continue;
+    const { value } = image.rows.get(key)!;
+    const token = Number(/^(\d+)\.\d+$/.exec(String(value))?.[1] ?? Number.NaN);
+    if (Number.isNaN(token)) {
+      find(key, `not an owner's mark: ${String(value)}`);
+      continue;
+    }
+    const claim = image.rows.get(keys.claim(Number(fence[1])));
+    if (token > (claim?.version ?? image.revision)) {
+      find(key, `written under token ${token}, which is newer than the part's claim`);
+    }
+  }
+}
--- /dev/null
+++ b/src/image/commands.ts
@@ -0,0 +1,132 @@
+import { Command, CommanderError } from "commander";
+import { systemClock } from "../clock.js";
+import { HttpClient } from "../http/client.js";
+import { loadSettings, type Settings } from "../settings/settings.js";
+import { StoreClient } from "../state/store.js";
+import { checkImage, type Finding } from "./check.js";
+import { collect } from "./collect.js";
+import { exportFinished } from "./export.js";
+import { readImage, writeImage } from "./file.js";
+import { RestoreRefused, restoreImage } from "./restore.js";
+import { overview } from "./show.js";
+
+/** Runs with a client of the state service that may use a part of what the service allows. */
+async function withStore<T>(
+  settings: Settings,
+  part: number,
+  run: (store: StoreClient) => Promise<T>,
+): Promise<T> {
+  const { services, params } = settings;
+  const http = new HttpClient(services.state, 4, systemClock);
+  const store = new StoreClient(
+    http,
+    {
+      rps: params.state.rps * part,
+      writeRps: params.state.write_rps * part,
+      ops: params.state.txn_ops,
+      conditions: params.state.txn_ops * 4,
+      valueBytes: params.state.value_kb * 1024,
+      txnBytes: 48 * 1024,
+    },
+    systemClock,
+    10_000,
+  );
+  try {
+    return await run(store);
+  } finally {
+    http.close();
+  }
+}
+
+const limitsOf = ({ params }: Settings): Map<string, { cpus: number; gpus: number }> =>
+  new Map(params.teams.map((team) => [team.name, { cpus: team.cpus_max, gpus: team.gpus_max }]));
+
+const out = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
+
+function report(file: string, findings: readonly Finding[]): void {
+  for (const { key, problem } of findings) process.stderr.write(`${file}: ${key}: ${problem}\n`);
+}
+
+/** `birchdale state ...`: images of all that the state service keeps. */
+export function imageCommands(parent: Command): Command {
+  const state = new Command("state")
+    .copyInheritedSettings(parent)
+    .description("save, check, show, export and restore all that the state service keeps");
+  const settings = "the platform's settings (TOML), for the state service and its limits";
+  state
+    .command("save")
+    .description("write a consistent image while the service runs")
+    .argument("<file>", "the image: a gzipped tar file")
+    .requiredOption("--config <file>", settings)
+    .action(async (file: string, { config }: { config: string }) => {
+      // A quarter of the requests that the service allows: it has other work.
+      const image = await withStore(loadSettings(config), 0.25, (store) =>
+        collect(store, () => Date.now()),
+      );
+      await writeImage(file, image);
+      out(`${file}: ${image.rows.size} keys at revision ${image.revision}`);
+    });
+  state
+    .command("show")
+    .description("show what an image holds")
+    .argument("<file>")
+    .option("--json", "print JSON")
+    .action(async (file: string, { json }: { json?: boolean }) => {
+      out(JSON.stringify(overview(await readImage(file)), null, json ? 0 : 2));
+    });
+  state
+    .command("check")
+    .description("verify everything that must hold between the records of an image")
+    .argument("<file>")
+    .option("--config <file>", "the platform's settings (TOML), for the teams' limits")
+    .action(async (file: string, { config }: { config?: string }) => {
+      const image = await readImage(file);
+      const limits = config === undefined ? undefined : limitsOf(loadSettings(config));
+      const findings = checkImage(image, { limits });
+      report(file, findings);
+      if (findings.length > 0) throw new CommanderError(1, "state.check", "findings");
+      out(`${file}: ${image.rows.size} keys, no findings`);
+    });
+  state
+    .command("export")
+    .description("write the jobs that are over as a Parquet file")
+    .argument("<file>", "an image")
+    .argument("<parquet>", "the file to write")
+    .action(async (file: string, parquet: string) => {
+      const count = await exportFinished(await readImage(file), parquet);
+      out(`${parquet}: ${count} jobs`);
+    });
+  state
+    .command("restore")
+    .description("fill an empty state service from an image; stop all controllers first")
+    .argument("<file>", "an image")
+    .requiredOption("--config <file>", settings)
+    .action(async (file: string, { config }: { config: string }) => {
+      const image = await readImage(file);
+      const parsed = loadSettings(config);
+      let shown = 0;
+      try {
+        const { rows, tokens } = await withStore(parsed, 0.9, (store) =>
+          restoreImage(image, {
+            store,
+            clock: systemClock,
+            writeRps: parsed.params.state.write_rps,
+            progress: (done, all) => {
+              if (done < all && done - shown < 1000) return;
+              shown = done;
+              process.stderr.write(`${done} of ${all} keys\n`);
+            },
+          }),
+        );
+        out(`${rows} keys restored; tokens are raised by ${tokens}. Start the controllers now.`);
+      } catch (error) {
+        if (!(error instanceof RestoreRefused)) throw error;
+        report(file, error.findings);
+        process.stderr.write(`birchdale: not restored: ${error.message}\n`);
+        throw new CommanderError(1, "state.restore", error.message);
+      }
+    });
+  return state;
+}
--- /dev/null
+++ b/src/image/file.ts
@@ -0,0 +1,128 @@
+import { createHash } from "node:crypto";
+import { createReadStream, createWriteStream } from "node:fs";
+import { rename, rm } from "node:fs/promises";
+import { pipeline } from "node:stream/promises";
+import { createGunzip, createGzip } from "node:zlib";
+import tar from "tar-stream";
+import { z } from "zod";
+import { type Image, PREFIXES } from "./collect.js";
+
+/** What cannot be read as an image: the file, and in it the entry and line. */
+export class ImageError extends Error {
+  override readonly name = "ImageError";
+}
+
+const FORMAT = 1;
+
+const manifest = z.object({
+  format: z.number().int(),
+  revision: z.number().int().nonnegative(),
+  takenAt: z.number().int(),
+  entries: z.array(
+    z.object({ name: z.string(), rows: z.number().int(), sha256: z.string().length(64) }),
+  ),
+});
+
+const line = z.tuple([z.string().min(1), z.number().int().positive(), z.unknown()]);
+
+const nameOf = (prefix: string): string => `${prefix.slice(0, -1)}.jsonl`;
+
+/**
+ * Writes an image: a gzipped tar file with a manifest and one file of JSON lines
+ * `[key, stamp, value]` for each prefix, in order of keys, with the SHA-256 of each. The file has
+ * its name only once it is whole.
+ */
+export async function writeImage(file: string, image: Image): Promise<void> {
+  const keys = [...image.rows.keys()].sort();
+  const texts = PREFIXES.map((prefix) => {
+    const lines = keys
+      .filter((key) => key.startsWith(prefix))
+      .map((key) => {
+        const { value, version } = image.rows.get(key)!;
+        return `${JSON.stringify([key, version, value])}\n`;
+      });
+    return { name: nameOf(prefix), rows: lines.length, bytes: Buffer.from(lines.join("")) };
+  });
+  const { revision, takenAt } = image;
+  const head: z.infer<typeof manifest> = {
+    format: FORMAT,
+    revision,
+    takenAt,
+    entries: texts.map(({ name, rows, bytes }) => ({ name, rows, sha256: sumOf(bytes) })),
+  };
+  const pack = tar.pack();
+  const mtime = new Date(takenAt);
+  pack.entry({ name: "manifest.json", mtime }, `${JSON.stringify(head, null, 2)}\n`);
+  for (const { name, bytes } of texts) pack.entry({ name, mtime }, bytes);
+  pack.finalize();
+  const part = `${file}.part`;
+  try {
+    await pipeline(pack, createGzip(), createWriteStream(part, { flags: "wx" }));
+    await rename(part, file);
+  } catch (error) {
+    await rm(part, { force: true });
+    throw error;
+  }
+}
+
+const sumOf = (bytes: Buffer): string => createHash("sha256").update(bytes).digest("hex");
+
+/**
+ * Reads an image and checks that it is whole; whether what it holds is right is another question
+ * (`checkImage`).
+ * @throws ImageError with file, entry and line
+ */
+export async function readImage(file: string): Promise<Image> {
+  const found = new Map<string, Buffer>();
+  const extract = tar.extract();
+  const reading = pipeline(createReadStream(file), createGunzip(), extract);
+  try {
+    for await (const entry of extract) {
+      const chunks: Buffer[] = [];
+      for await (const chunk of entry) chunks.push(chunk as Buffer);
+      found.set(entry.header.name, Buffer.concat(chunks));
+    }
+    await reading;
+  } catch (error) {
+    reading.catch(() => undefined);
+    const { code } = error as NodeJS.ErrnoException;
+    if (code === "ENOENT" || code === "EACCES" || code === "EISDIR") throw error;
+    throw new ImageError(`${file}: not a whole image (${(error as Error).message})`);
+  }
+  const head = found.get("manifest.json");
+  if (head === undefined) throw new ImageError(`${file}: no manifest.json in it`);
+  let parsed: z.infer<typeof manifest>;
+  try {
+    parsed = manifest.parse(JSON.parse(head.toString()));
+  } catch {
+    throw new ImageError(`${file}: manifest.json: not the manifest of an image`);
+  }
+  if (parsed.format !== FORMAT) {
+    throw new ImageError(`${file}: format ${parsed.format}; this program reads ${FORMAT}`);
+  }
+  const rows: Image["rows"] = new Map();
+  for (const { name, rows: count, sha256 } of parsed.entries) {
+    const bytes = found.get(name);
+    if (bytes === undefined) throw new ImageError(`${file}: ${name} is missing`);
+    if (sumOf(bytes) !== sha256) throw new ImageError(`${file}: ${name}: the checksum is wrong`);
+    const lines = bytes.length === 0 ? [] : bytes.toString().trimEnd().split("\n");
+    if (lines.length !== count) {
+      throw new ImageError(`${file}: ${name}: ${lines.length} lines where ${count} should be`);
+    }
+    for (const [i, text] of lines.entries()) {
+      const row = parseLine(text);
+      if (row === null) throw new ImageError(`${file}: ${name}:${i + 1}: not a key with its value`);
+      rows.set(row[0], { value: row[2], version: row[1] });
+    }
+  }
+  const { revision, takenAt } = parsed;
+  return { revision, takenAt, rows };
+}
+
+function parseLine(text: string): z.infer<typeof line> | null {
+  try {
+    return line.parse(JSON.parse(text));
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/src/image/show.ts
@@ -0,0 +1,74 @@
+import { decodeLeaf } from "../archive/index.js";
+import { isHeader } from "../jobs/header.js";
+import { decodePage, isPage } from "../jobs/page.js";
+import { type Past, pastOf } from "../jobs/past.js";
+import { HEADERS, keys } from "../state/keys.js";
+import type { Image } from "./collect.js";
+
+export interface Overview {
+  revision: number;
+  takenAt: string;
+  schema: number;
+  keys: number;
+  /** Jobs by status: of those that are over, those among the watched keys. */
+  jobs: { open: number; done: number; cancelled: number; archived: number };
+  leaves: number;
+  /** By part: chunks that have a state, and tasks that are placed. */
+  parts: Record<string, { chunks: number; placed: number }>;
+  /** Machines of which the cloud has confirmed that they are gone. */
+  gone: number;
+}
+
+/** What an image holds, in numbers. What cannot be read is not counted; see `checkImage`. */
+export function overview(image: Image): Overview {
+  const jobs = { open: 0, done: 0, cancelled: 0, archived: 0 };
+  const parts: Overview["parts"] = {};
+  let leaves = 0;
+  let gone = 0;
+  for (const [key, { value, version }] of image.rows) {
+    if (key.startsWith(HEADERS)) {
+      if (isHeader(value)) jobs[value.status]++;
+    } else if (key.startsWith(keys.archive)) {
+      leaves++;
+      jobs.archived += entriesOf(key, value, version).length;
+    } else if (key.startsWith(keys.gone("")) && Array.isArray(value)) gone += value.length;
+    else if (key.startsWith("c/") && isPage(value)) {
+      const part = key.split("/")[1]!;
+      parts[part] ??= { chunks: 0, placed: 0 };
+      for (const { live } of decodePage(value).values()) {
+        parts[part].chunks++;
+        parts[part].placed += live.length;
+      }
+    }
+  }
+  const schema = image.rows.get(keys.schema)?.value as { version?: number } | undefined;
+  return {
+    revision: image.revision,
+    takenAt: new Date(image.takenAt).toISOString(),
+    schema: schema?.version ?? 1,
+    keys: image.rows.size,
+    jobs,
+    leaves,
+    parts,
+    gone,
+  };
+}
+
+function entriesOf(key: string, value: unknown, version: number): (readonly [string, Past])[] {
+  try {
+    return decodeLeaf({ key, value, version }).entries;
+  } catch {
+    return [];
+  }
+}
+
+/** Every job of an image that is over, with its final state; in order of ids within each source. */
+export function* finished(image: Image): Generator<readonly [id: string, past: Past]> {
+  for (const [key, { value, version }] of image.rows) {
+    if (key.startsWith(keys.archive)) yield* entriesOf(key, value, version);
+    else if (key.startsWith(HEADERS) && isHeader(value)) {
+      const past = pastOf(value);
+      if (past !== null) yield [key.slice(HEADERS.length), past];
+    }
+  }
+}
--- a/src/jobs/chunk.ts
+++ b/src/jobs/chunk.ts
@@ -110,6 +110,17 @@
     }
   }
 
+  /** A task that was not placed is known to have completed: its worker still tells so. */
+  prove(index: number): boolean {
+    if (index < 0 || index >= this.size || this.done[index] !== 0 || this.live.has(index)) {
+      return false;
+    }
+    this.version++;
+    this.done[index] = 1;
+    this.doneCount++;
+    return true;
+  }
+
   get state(): ChunkState {
     const live = [...this.live.values()].map(({ index, attempt, machine }) => ({
       index,
--- a/src/main.ts
+++ b/src/main.ts
@@ -197,6 +197,17 @@
     await marketCommands(program).parseAsync(words, { from: "user" });
   });
 
+program
+  .command("state")
+  .description("images of all that the state service keeps; see state --help")
+  .argument("[words...]")
+  .helpOption(false)
+  .allowUnknownOption()
+  .action(async (words: string[]) => {
+    const { imageCommands } = await import("./image/index.js");
+    await imageCommands(program).parseAsync(words, { from: "user" });
+  });
+
 for (const [name, description] of [
   ["q", "show clusters of submit files in the queue, or the jobs of some"],
   ["history", "show clusters that are over"],
@@ -245,12 +256,15 @@
   await program.parseAsync();
 } catch (error) {
   if (error instanceof CommanderError) {
-    process.exitCode = error.exitCode === 0 ? 0 : USAGE;
+    // What a command says about itself; anything else is a wrong use of the command line.
+    const own = error.code.startsWith("state.");
+    process.exitCode = error.exitCode === 0 ? 0 : own ? error.exitCode : USAGE;
   } else {
     const known =
       error instanceof SettingsError ||
       error instanceof RequestRefused ||
       error instanceof Unanswered ||
+      (error as Error).name === "ImageError" ||
       (error as NodeJS.ErrnoException).code !== undefined;
     process.stderr.write(`birchdale: ${known ? (error as Error).message : String(error)}\n`);
     process.exitCode = 1;
--- a/src/market/desk.ts
+++ b/src/market/desk.ts
@@ -25,6 +25,6 @@
 
   /** What every write depends on. */
   get guard(): Condition[] {
-    return [{ key: this.leading.key, version: this.leading.token }];
+    return [this.leading.claim];
   }
 }
--- a/src/market/leader.ts
+++ b/src/market/leader.ts
@@ -58,7 +58,7 @@
 
   async #run(): Promise<void> {
     const { clock, log, mirror } = this.core;
-    await mirror.reached(this.leading.token);
+    await mirror.reached(this.leading.claim.version);
     while (!this.#stopped) {
       try {
         if (this.leading.valid()) await this.#step();
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -2,6 +2,7 @@
 import type { Log } from "../log.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
+import { restoredOf } from "../state/restored.js";
 import { KNOWN_SCHEMA, leaderKey } from "../state/schema.js";
 import { NoLease, type Store } from "../state/store.js";
 import type { Layout } from "./layout.js";
@@ -24,12 +25,12 @@
 
 /**
  * Holds this controller's lease at the state service and, attached to it, its claims on parts and
- * on leadership. A claim's version is the fencing token: versions only grow, and no two changes
- * of a key share one.
+ * on leadership. A claim's version makes the fencing token (`tokenOf`): versions only grow, and no
+ * two changes of a key share one.
  */
 export class Membership {
   readonly owned = new Map<number, number>();
-  leaderToken: number | null = null;
+  leaderStamp: number | null = null;
   /** The key of the claim that it is the version of. */
   leaderKey: string = keys.leader;
   readonly ttlMs: number;
@@ -106,9 +107,9 @@
     );
     if (!others) return;
     this.#shyUntil = this.clock.now() + forMs;
-    const token = this.leaderToken;
+    const token = this.leaderStamp;
     if (token !== null) {
-      this.leaderToken = null;
+      this.leaderStamp = null;
       this.handlers.deposed();
       const key = this.leaderKey;
       await this.store.transact([{ key, version: token }], [{ remove: key }]);
@@ -123,8 +124,8 @@
 
   #dropAll(why: string): void {
     for (const part of [...this.owned.keys()]) this.#drop(part, why);
-    if (this.leaderToken !== null) {
-      this.leaderToken = null;
+    if (this.leaderStamp !== null) {
+      this.leaderStamp = null;
       this.handlers.deposed();
     }
   }
@@ -193,6 +194,8 @@
     if (this.#lease === null || !this.valid() || !this.mirror.ready) return;
     const now = this.clock.now();
     if (now - this.mirror.contactAt > this.ttlMs) return;
+    // Records are being put there by a restore: what is missing yet would look as if it had never been.
+    if (restoredOf(this.mirror).state === "filling") return;
     if (!this.#present) await this.#show();
     for (const { name } of this.layout.members) {
       if (!this.#serving(name)) this.#homeSince.delete(name);
@@ -288,12 +291,12 @@
 
   #leaderChanged(key: string, version: number, value: unknown): void {
     if (this.#mine(value)) {
-      if (this.leaderToken === version) return;
-      this.leaderToken = version;
+      if (this.leaderStamp === version) return;
+      this.leaderStamp = version;
       this.leaderKey = key;
       this.handlers.leading(version);
-    } else if (this.leaderToken !== null && key === this.leaderKey && version > this.leaderToken) {
-      this.leaderToken = null;
+    } else if (this.leaderStamp !== null && key === this.leaderKey && version > this.leaderStamp) {
+      this.leaderStamp = null;
       this.handlers.deposed();
     }
   }
--- a/src/part/commits.ts
+++ b/src/part/commits.ts
@@ -106,13 +106,13 @@
    * its chunks; a chunk that leaves does so together with its page and its header.
    */
   #collect(leave: boolean): Batch {
-    const { index, token, store, mirror, clock } = this.ctx;
+    const { index, store, mirror, clock } = this.ctx;
     const { ops, conditions, txnBytes } = store.limits;
     const pageSize = pageBytes(store.limits);
     const fenceKey = keys.fence(index);
     const batch: Batch = {
       when: [
-        { key: keys.claim(index), version: token },
+        this.ctx.claim,
         { key: fenceKey, version: this.#fence },
         // A job cancelled meanwhile makes the whole transaction fail: nothing of it starts.
         { key: keys.cancels, version: mirror.rows.get(keys.cancels)?.version ?? 0 },
@@ -366,7 +366,7 @@
    * will be, and the keys that only this owner writes tell which. False when the claim is lost.
    */
   async #settle(batch: Batch, outcome: Outcome): Promise<boolean> {
-    const { store, clock, index, token, reportMs } = this.ctx;
+    const { store, clock, index, reportMs } = this.ctx;
     const fence = keys.fence(index);
     let seen: number | null = null;
     for (;;) {
@@ -376,10 +376,7 @@
         const version = found?.version ?? 0;
         if (batch.mark !== null && found?.value === batch.mark) seen = version;
         const result = await store.transact(
-          [
-            { key: keys.claim(index), version: token },
-            { key: fence, version },
-          ],
+          [this.ctx.claim, { key: fence, version }],
           [{ put: fence, value: this.#mark() }],
         );
         if (result.ok) {
--- a/src/part/context.ts
+++ b/src/part/context.ts
@@ -5,7 +5,7 @@
 import type { Log } from "../log.js";
 import type { Metrics } from "../metrics.js";
 import type { Mirror } from "../state/mirror.js";
-import type { Store } from "../state/store.js";
+import type { Condition, Store } from "../state/store.js";
 import type { MachineType } from "../wire/cloud.js";
 import type * as wire from "../wire/workers.js";
 import type { Places } from "../workers/places.js";
@@ -16,7 +16,14 @@
   index: number;
   /** How many parts there are. */
   parts: number;
+  /** The fencing token that workers go by. */
   token: number;
+  /** The claim that makes us the owner: whatever is committed depends on it. */
+  claim: Condition;
+  /** Whether the records were restored, and do not tell of all that may be running yet. */
+  settling(): boolean;
+  /** How long such tasks may run without being heard of (`settleMsOf`). */
+  settleMs: number;
   store: Store;
   mirror: Mirror;
   clock: Clock;
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -17,6 +17,7 @@
 import { beginPass, Placing, usable } from "./placing.js";
 import { Preempting } from "./preempting.js";
 import { Quota } from "./quota.js";
+import { Settling } from "./settling.js";
 import type { Need, Summary } from "./summary.js";
 import { Tidying } from "./tidying.js";
 import { Workers } from "./workers.js";
@@ -53,6 +54,7 @@
   readonly #preempting: Preempting;
   readonly #commits: Commits;
   readonly #tidying: Tidying;
+  readonly #settling: Settling;
   readonly #loading = new Set<string>();
   #tickAt = 0;
   #timerSet = false;
@@ -83,6 +85,7 @@
       (outcome) => this.tell({ kind: "settled", outcome }),
       () => this.stopped,
     );
+    this.#settling = new Settling(ctx, this.#ledger);
     this.#tidying = new Tidying(ctx, this.#ledger, (id) => this.#awaits(id));
     const kept = this.#read(records);
     for (const [key, row] of ctx.mirror.rows) {
@@ -273,6 +276,13 @@
       );
     }
     this.#quota.begin();
+    if (this.ctx.settling()) {
+      this.#workers.sendOrders();
+      this.#summarize();
+      if (!this.#commits.flush()) this.#soon(this.ctx.reportMs / 10);
+      this.#settling.run();
+      return;
+    }
     const pass = beginPass(this.ctx, this.#ledger);
     const blocked = this.#placing.run(pass);
     if (rules !== null) this.#starved = starvedOf(blocked, this.#quota, { rules, places }, pass);
@@ -317,7 +327,7 @@
 
   #summarize(): void {
     const now = this.ctx.clock.now();
-    const { index, token, store, reportMs } = this.ctx;
+    const { index, claim, store, reportMs } = this.ctx;
     // The other controllers hear of changes soon, if they can be reached.
     const used = [...this.#ledger.use.values()].reduce((sum, { cpus }) => sum + cpus, 0);
     const state = `${this.#ledger.waitingCpus}/${this.#quota.short.size}/${used}`;
@@ -331,10 +341,7 @@
     if (now - this.#summaryAt < 5000 || !store.writes.take(1, 2)) return;
     this.#summaryAt = now;
     store
-      .transact(
-        [{ key: keys.claim(index), version: token }],
-        [{ put: keys.summary(index), value: this.summary() }],
-      )
+      .transact([claim], [{ put: keys.summary(index), value: this.summary() }])
       .catch(() => undefined);
   }
 
--- a/src/part/tidying.ts
+++ b/src/part/tidying.ts
@@ -59,13 +59,10 @@
   }
 
   async #write(chosen: { key: string; version: number; header: Header }[]): Promise<void> {
-    const { store, mirror, index, token, log } = this.ctx;
+    const { store, mirror, claim, log } = this.ctx;
     try {
       const result = await store.transact(
-        [
-          { key: keys.claim(index), version: token },
-          ...chosen.map(({ key, version }) => ({ key, version })),
-        ],
+        [claim, ...chosen.map(({ key, version }) => ({ key, version }))],
         chosen.map(({ key, header }) => ({ put: key, value: header })),
       );
       if (!result.ok) return;
--- a/src/part/workers.ts
+++ b/src/part/workers.ts
@@ -149,10 +149,11 @@
     for (const live of [...machine.live.values()]) {
       if (!listed.has(live.task)) this.#onAbsent(machine, live);
     }
+    const proved = this.ctx.settling() && this.#prove(report);
     machine.touched();
     if (machine.noticeS !== null) this.#drain(machine);
     const answer = { machine, report, listed, reply };
-    if (machine.live.size === before) {
+    if (machine.live.size === before && !proved) {
       this.#answer(answer);
       // Also for what says nothing new: on a quiet part, waiting for the regular pass made jobs late.
       this.wake(false);
@@ -167,6 +168,22 @@
     this.wake(true);
   }
 
+  /**
+   * After a restore: tasks that the records have as not begun, and that a worker can show to be
+   * done. A result is kept whatever attempt it is of. Says whether there are any.
+   */
+  #prove(report: wire.Report): boolean {
+    let proved = false;
+    for (const { task, state, why } of report.tasks) {
+      const found = state === "exited" && why === "done" ? this.ledger.find(task) : null;
+      if (found === null || found.job.spec.kind === "service") continue;
+      if (!found.chunk.prove(found.index)) continue;
+      this.ledger.changes++;
+      proved = true;
+    }
+    return proved;
+  }
+
   /** What a worker is told, by what is in the store now. */
   #answer({ machine, report, listed, reply }: Held): void {
     const { token } = this.ctx;
@@ -185,7 +202,10 @@
           commands.push(wire.stopTask(live.task, live.attempt, live.stop.graceS));
         }
       } else if (task.state !== "exited") {
-        commands.push(wire.stopTask(task.task, task.attempt, 0));
+        // After a restore it may have begun without a record; what it can save is not lost.
+        const graceS = this.ctx.settling() ? (found?.job.spec.saveS ?? 0) : 0;
+        if (graceS > 0 && task.state === "saving") continue;
+        commands.push(wire.stopTask(task.task, task.attempt, graceS));
       } else if (found === null || found.chunk.saved >= found.chunk.version) {
         // Its end must be in the store before the worker may forget it.
         commands.push(wire.forgetTask(task.task, task.attempt));
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -17,6 +17,10 @@
   /** The same two from the second schema on. */
   leader2: "w/2/lead",
   types2: "w/2/types",
+  /** That all of this was restored from an image, and what goes for it (`restored.ts`). */
+  restored: "w/restored",
+  /** Which owner of a part has found out all that runs there since. */
+  vouched: (part: number): string => `w/r/${part}`,
   /** Archived jobs, in leaves by their last id (`src/archive`); nobody watches them. */
   archive: "a/j/",
   /**
--- a/src/submit/site/steward.ts
+++ b/src/submit/site/steward.ts
@@ -110,12 +110,12 @@
   }
 
   get #guard(): { key: string; version: number }[] {
-    return [{ key: this.leading.key, version: this.leading.token }];
+    return [this.leading.claim];
   }
 
   async #run(): Promise<void> {
     const { clock, log, mirror, settings } = this.core;
-    await mirror.reached(this.leading.token);
+    await mirror.reached(this.leading.claim.version);
     // What an earlier leader had begun, or had not seen.
     for (const id of this.book.clusters.keys()) this.book.touched.add(id);
     while (!this.#stopped) {
--- /dev/null
+++ b/test/archive.test.ts
@@ -0,0 +1,492 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  beforeLeaf,
+  CorruptLeaf,
+  covers,
+  decodeLeaf,
+  type Entry,
+  encodeLeaf,
+  findIn,
+  LAST,
+  type Leaf,
+  Lookups,
+  leafBytes,
+  leafKey,
+  planMove,
+} from "../src/archive/index.js";
+import { Shared } from "../src/archive/shared.js";
+import { Gone } from "../src/controller/gone.js";
+import { doneHeader, type Header, isTidy, tidied } from "../src/jobs/header.js";
+import { sizeOf } from "../src/jobs/page.js";
+import type { Past } from "../src/jobs/past.js";
+import { StateService } from "../src/local/state.js";
+import { keys } from "../src/state/keys.js";
+import { Mirror } from "../src/state/mirror.js";
+import { Refused, type Row } from "../src/state/store.js";
+import { FakeClock } from "./support/clock.js";
+import { LIMITS, quiet } from "./support/common.js";
+import { Random } from "./support/random.js";
+import { FakeStore } from "./support/store.js";
+
+const ID = fc.stringMatching(/^wk-[0-9A-Za-z][0-9A-Za-z_.-]{0,12}$/);
+const PAST: fc.Arbitrary<Past> = fc
+  .record({
+    status: fc.constantFrom("done" as const, "cancelled" as const),
+    tasks: fc.integer({ min: 1, max: 100_000 }),
+    part: fc.integer({ min: 0, max: 100 }),
+    at: fc.integer({ min: 1_500_000_000, max: 1_900_000_000 }),
+    lasted: fc.option(fc.integer({ min: 0, max: 1_000_000 })),
+    team: fc.option(fc.constantFrom("red", "blue", "Ομάδα", 'a "b"')),
+  })
+  .map(({ status, tasks, part, at, lasted, team }) => ({
+    status,
+    tasks,
+    done: status === "done" ? tasks : Math.floor((tasks * part) / 100),
+    at: at * 1000,
+    over: lasted === null ? null : (at + lasted) * 1000,
+    team,
+  }));
+const ENTRIES = fc
+  .uniqueArray(fc.tuple(ID, PAST), { selector: ([id]) => id, maxLength: 40 })
+  .map((list) => list.sort(([a], [b]) => (a < b ? -1 : 1)) as Entry[]);
+
+const row = (key: string, value: unknown, version = 1): Row => ({ key, value, version });
+
+test("leaves: what is put in comes out", () => {
+  fc.assert(
+    fc.property(ENTRIES, (entries) => {
+      const leaf = decodeLeaf(row(leafKey(LAST), encodeLeaf("", entries)));
+      assert.deepEqual(leaf.entries, entries);
+      for (const [id, past] of entries) assert.deepEqual(findIn(leaf.entries, id), past);
+    }),
+  );
+});
+
+test("leaves: about 16 bytes a job, with ids as they are mostly", () => {
+  const dice = new Random(1);
+  const entries = Array.from({ length: 200 }, (_, i): Entry => {
+    const at = 1_764_000_000_000 + dice.int(0, 86_400_000);
+    const tasks = dice.int(1, 60);
+    const over = at + dice.int(20_000, 900_000);
+    const team = dice.pick(["telemetria", "oceanografia", "costero"]);
+    return [
+      `wk-${String(i * 3).padStart(6, "0")}`,
+      { status: "done", tasks, done: tasks, at, over, team },
+    ];
+  });
+  const bytes = sizeOf(encodeLeaf("", entries)) / entries.length;
+  assert.ok(bytes < 19, `${bytes} bytes a job`);
+});
+
+test("leaves: one changed character anywhere is found out", () => {
+  fc.assert(
+    fc.property(
+      ENTRIES,
+      fc.nat(),
+      fc.constantFrom("0", "d", "~", " ", ":"),
+      (entries, at, other) => {
+        fc.pre(entries.length > 0);
+        const record = encodeLeaf("", entries);
+        const place = at % record.d.length;
+        fc.pre(record.d[place] !== other);
+        const d = record.d.slice(0, place) + other + record.d.slice(place + 1);
+        assert.throws(() => decodeLeaf(row(leafKey(LAST), { ...record, d })), CorruptLeaf);
+      },
+    ),
+  );
+});
+
+const one = encodeLeaf("wk-3", [
+  ["wk-5", { status: "done", tasks: 1, done: 1, at: 0, over: null, team: null }],
+]);
+const BAD: [string, Row][] = [
+  ["no record", row(leafKey(LAST), 7)],
+  ["a field is missing", row(leafKey(LAST), { ...one, b: undefined })],
+  ["a count that is wrong", row(leafKey(LAST), { ...one, n: 2 })],
+  ["an id beyond its range", row(leafKey("wk-4"), one)],
+  ["not its key", row("a/j/wk-5", one)],
+];
+for (const [name, bad] of BAD) {
+  test(`leaves: refuses ${name}`, () => assert.throws(() => decodeLeaf(bad), CorruptLeaf));
+}
+
+test("leaves: the first key behind an id is its leaf, however ids begin with one another", () => {
+  fc.assert(
+    fc.property(fc.uniqueArray(ID, { minLength: 1, maxLength: 20 }), ID, (ends, id) => {
+      const lasts = [...ends.sort(), LAST];
+      const listed = lasts.map(leafKey).sort();
+      assert.deepEqual(listed, lasts.map(leafKey), "keys sort as the ids do");
+      const found = listed.findIndex((key) => key > beforeLeaf(id));
+      assert.equal(
+        found,
+        lasts.findIndex((last) => last === LAST || last >= id),
+      );
+    }),
+  );
+});
+
+const headerOf = ({ status, tasks, at, over, team }: Past): Header => ({
+  status,
+  owners: "",
+  chunkSize: 1,
+  at,
+  started: true,
+  moves: 0,
+  tasks,
+  ...(over === null ? {} : { over }),
+  ...(team === null ? {} : { team }),
+});
+
+test("moves: nothing is lost or doubled, ranges stay whole, and every limit is kept", () => {
+  fc.assert(
+    fc.property(
+      ENTRIES,
+      ENTRIES,
+      fc.integer({ min: 2, max: 30 }),
+      fc.constantFrom(300, 700, 2000),
+      (kept, fresh, changes, most) => {
+        const known = new Set(kept.map(([id]) => id));
+        const leaf: Leaf = { key: leafKey(LAST), version: 9, from: "", last: LAST, entries: kept };
+        const rows = fresh.map(([id, past]) => row(keys.job(id), headerOf(past), 3));
+        const limits = { changes, leafBytes: most, txnBytes: 48 * 1024 };
+        const move = planMove(leaf, rows, limits);
+        if (move === null) return assert.equal(fresh.length, 0);
+        assert.deepEqual(
+          move.doubled.map(({ key }) => key.slice(4)),
+          fresh.map(([id]) => id).filter((id) => known.has(id)),
+        );
+        if (move.moved.length === 0) return;
+        assert.ok(move.changes.length <= changes);
+        let from = "";
+        const all: Entry[] = [];
+        for (const { key, from: begins, last, entries } of move.leaves) {
+          assert.equal(begins, from);
+          assert.equal(key, leafKey(last));
+          for (const [id] of entries) assert.ok(covers({ from, last }, id));
+          if (entries.length > 1) assert.ok(sizeOf(encodeLeaf(from, entries)) <= most);
+          all.push(...entries);
+          from = last;
+        }
+        assert.equal(from, LAST);
+        const moved = new Set(move.moved.map(({ key }) => key.slice(4)));
+        assert.equal(all.length, kept.length + moved.size);
+        for (const id of moved) assert.ok(all.some(([name]) => name === id));
+        // Everything that it changes it has seen before.
+        for (const change of move.changes) {
+          const key = "put" in change ? change.put : change.remove;
+          assert.ok(
+            move.when.some((condition) => condition.key === key),
+            key,
+          );
+        }
+      },
+    ),
+  );
+});
+
+test("moves: ids that only grow leave full leaves behind", () => {
+  const limits = { changes: 12, leafBytes: leafBytes(LIMITS), txnBytes: LIMITS.txnBytes };
+  let leaves: Leaf[] = [{ key: leafKey(LAST), version: 1, from: "", last: LAST, entries: [] }];
+  for (let i = 0; i < 3000; i += 10) {
+    const rows = Array.from({ length: 10 }, (_, j) => {
+      const id = `wk-${String(i + j).padStart(6, "0")}`;
+      const past: Past = {
+        status: "done",
+        tasks: 4,
+        done: 4,
+        at: i * 1000,
+        over: i * 1000 + 60_000,
+        team: "red",
+      };
+      return row(keys.job(id), headerOf(past));
+    });
+    const move = planMove(leaves.at(-1)!, rows, limits)!;
+    assert.equal(move.moved.length, 10);
+    leaves = [...leaves.slice(0, -1), ...move.leaves.map((leaf) => ({ ...leaf, version: i }))];
+  }
+  const sizes = leaves.slice(0, -1).map(({ from, entries }) => sizeOf(encodeLeaf(from, entries)));
+  const mean = sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
+  assert.ok(mean > limits.leafBytes * 0.8, `${mean} of ${limits.leafBytes}`);
+});
+
+test("cancelled jobs: over for good once no part has anything of them", () => {
+  const spec = { team: "red" } as Header["spec"];
+  const header: Header = {
+    ...headerOf({ status: "cancelled", tasks: 3, done: 0, at: 0, over: 5, team: null }),
+    owners: "0x1",
+    spec,
+  };
+  assert.ok(!isTidy(header));
+  const half = tidied(header, 1);
+  assert.equal(half.owners, "0x-");
+  assert.ok(!isTidy(half) && half.spec !== undefined, "part 0 may still run by it");
+  const all = tidied(half, 0);
+  assert.ok(isTidy(all));
+  assert.deepEqual([all.spec, all.team], [undefined, "red"]);
+  assert.ok(isTidy(doneHeader(header, 7)));
+});
+
+// ---- looking up ----------------------------------------------------------------------------
+
+function filled(count: number, clock = new FakeClock()) {
+  const state = new StateService(clock, { ...LIMITS });
+  const entries = Array.from({ length: count }, (_, i): Entry => {
+    const id = `wk-${String(i).padStart(6, "0")}`;
+    return [id, { status: "done", tasks: 2, done: 2, at: 0, over: 1000, team: "red" }];
+  });
+  let from = "";
+  for (let i = 0; i < count; i += 100) {
+    const part = entries.slice(i, i + 100);
+    const last = i + 100 >= count ? LAST : part.at(-1)![0];
+    state.transact([], [{ put: leafKey(last), value: encodeLeaf(from, part) }]);
+    from = last;
+  }
+  const store = new FakeStore(state, clock, new Random(1), { ...LIMITS, rps: 200 }, 2000);
+  return { clock, state, store, lookups: new Lookups(store, clock, quiet, 5) };
+}
+
+test("look-ups: each old job has its final state, and most are answered from memory", async () => {
+  const { clock, lookups } = filled(5000);
+  const dice = new Random(2);
+  for (let i = 0; i < 300; i++) {
+    const id = `wk-${String(dice.int(0, 4999)).padStart(6, "0")}`;
+    const asked = lookups.find(id);
+    await clock.run(200);
+    assert.equal((await asked)?.status, "done", id);
+  }
+  assert.ok(lookups.reads <= 50, `${lookups.reads} reads of 50 leaves`);
+});
+
+test("look-ups: a thousand polls a second for unknown ids cost what their budget allows", async () => {
+  const { clock, store, lookups } = filled(5000);
+  let requests = 0;
+  const page = store.page.bind(store);
+  store.page = (...asked) => {
+    requests++;
+    return page(...asked);
+  };
+  const outcomes = { none: 0, refused: 0 };
+  for (let second = 0; second < 10; second++) {
+    for (let i = 0; i < 1000; i++) {
+      lookups.find(`wk-x${(second * 1000 + i) % 300}`).then(
+        (past) => {
+          assert.equal(past, null);
+          outcomes.none++;
+        },
+        (error) => {
+          assert.ok(error instanceof Refused);
+          outcomes.refused++;
+        },
+      );
+      await clock.run(1);
+    }
+  }
+  await clock.run(5000);
+  assert.equal(outcomes.none + outcomes.refused, 10_000);
+  // 200 a second for five controllers; a quarter of one's part is 10 a second, and as many at first.
+  assert.ok(requests <= 10 * 10 + 10, `${requests} requests`);
+  assert.ok(outcomes.none > requests, "one reading answers many");
+});
+
+test("look-ups: whoever asks during a reading gets one that begins afterwards", async () => {
+  const shared = new Shared<number>();
+  const gates: (() => void)[] = [];
+  let begun = 0;
+  const read = (): Promise<number> => {
+    const number = ++begun;
+    return new Promise((resolve) => gates.push(() => resolve(number)));
+  };
+  const first = shared.run("a", read);
+  const [second, third] = [shared.run("a", read), shared.run("a", read)];
+  const other = shared.run("b", read);
+  assert.equal(begun, 2, "the second reading of a waits");
+  gates[0]!();
+  assert.equal(await first, 1);
+  await new Promise((resolve) => setImmediate(resolve));
+  gates[2]!();
+  assert.deepEqual(await Promise.all([second, third]), [3, 3]);
+  gates[1]!();
+  assert.equal(await other, 2);
+});
+
+test("look-ups: a reading that fails fails its askers, and the next ones are served", async () => {
+  const shared = new Shared<number>();
+  const first = shared.run("a", () => Promise.reject(new Error("no")));
+  const second = shared.run("a", () => Promise.resolve(2));
+  await assert.rejects(first, /no/);
+  assert.equal(await second, 2);
+});
+
+const DAMAGE: [string, (state: StateService) => void, string][] = [
+  [
+    "its leaf has a wrong checksum",
+    (state) => {
+      const key = leafKey("wk-000199");
+      state.transact(
+        [],
+        [{ put: key, value: { ...(state.rows.get(key)!.value as object), c: 1 } }],
+      );
+    },
+    "wk-000150",
+  ],
+  [
+    "its leaf is missing",
+    (state) => {
+      state.transact([], [{ remove: leafKey("wk-000199") }]);
+    },
+    "wk-000150",
+  ],
+  [
+    "the last leaf is missing",
+    (state) => {
+      state.transact([], [{ remove: leafKey(LAST) }]);
+    },
+    "wk-000950",
+  ],
+];
+for (const [name, damage, id] of DAMAGE) {
+  test(`look-ups: nothing is guessed of a job where ${name}; the rest is served`, async () => {
+    const { clock, state, lookups } = filled(1000);
+    damage(state);
+    const asked = lookups.find(id);
+    asked.catch(() => undefined);
+    const guard = lookups.guard(id);
+    guard.catch(() => undefined);
+    await clock.run(1000);
+    await assert.rejects(asked, CorruptLeaf);
+    await assert.rejects(guard, CorruptLeaf);
+    const other = lookups.find("wk-000042");
+    await clock.run(1000);
+    assert.equal((await other)?.status, "done");
+  });
+}
+
+// ---- the watched keys ------------------------------------------------------------------------
+
+function watched(rows: number) {
+  const clock = new FakeClock();
+  const state = new StateService(clock, LIMITS);
+  for (let i = 0; i < rows; i++)
+    state.transact([], [{ put: `w/k/${String(i).padStart(5, "0")}`, value: i }]);
+  const store = new FakeStore(state, clock, new Random(3), LIMITS, 2000);
+  const mirror = new Mirror(store, clock, quiet, 1000);
+  return { clock, state, store, mirror };
+}
+
+const same = (mirror: Mirror, state: StateService): void => {
+  assert.deepEqual(
+    [...mirror.rows].map(([key, { value, version }]) => [key, value, version]).sort(),
+    [...state.rows]
+      .filter(([key]) => key.startsWith("w/"))
+      .map(([key, { value, version }]) => [key, value, version])
+      .sort(),
+  );
+};
+
+test("mirror: reading survives changes that pass meanwhile, more of them than are remembered", async () => {
+  const { clock, state, store, mirror } = watched(4500);
+  const dice = new Random(4);
+  const page = store.page.bind(store);
+  let pages = 0;
+  store.page = async (...asked) => {
+    pages++;
+    const found = await page(...asked);
+    // 8,000 of 10,000 that are remembered, between any two pages.
+    for (let i = 0; i < 8000; i++) {
+      const key = `w/k/${String(dice.int(0, 6000)).padStart(5, "0")}`;
+      state.transact([], [dice.chance(0.3) ? { remove: key } : { put: key, value: -i }]);
+    }
+    return found;
+  };
+  void mirror.run();
+  await clock.run(3000);
+  assert.ok(mirror.ready);
+  assert.ok(pages <= 8, `${pages} pages: it never began anew`);
+  same(mirror, state);
+  mirror.stop();
+});
+
+test("mirror: when changes were missed twice in a row, it reads again and is right", async () => {
+  const { clock, state, store, mirror } = watched(2500);
+  let floods = 2;
+  const watch = store.watch.bind(store);
+  store.watch = async (prefix, after, waitMs) => {
+    if (floods > 0 && waitMs === 0) {
+      floods--;
+      for (let i = 0; i < 12_000; i++)
+        state.transact([], [{ put: `w/k/${String(i % 3000).padStart(5, "0")}`, value: i }]);
+      for (let i = 0; i < 50; i++)
+        state.transact([], [{ remove: `w/k/${String(i * 7).padStart(5, "0")}` }]);
+    }
+    return watch(prefix, after, waitMs);
+  };
+  void mirror.run();
+  await clock.run(5000);
+  assert.equal(floods, 0);
+  assert.ok(mirror.ready);
+  same(mirror, state);
+  mirror.stop();
+});
+
+test("mirror: a page that does not come is asked for again, and what has been read stays", async () => {
+  const { clock, state, store, mirror } = watched(3500);
+  const page = store.page.bind(store);
+  const asked: (string | null)[] = [];
+  store.page = (prefix, after, most) => {
+    asked.push(after);
+    if (asked.length === 3) throw new Refused("503");
+    return page(prefix, after, most);
+  };
+  void mirror.run();
+  await clock.run(5000);
+  assert.equal(asked.filter((after) => after === null).length, 1);
+  same(mirror, state);
+  mirror.stop();
+});
+
+test("mirror: deletions are remembered while an answer may bring one back, and no longer", async () => {
+  const { clock, state, mirror } = watched(0);
+  void mirror.run();
+  await clock.run(1000);
+  for (let i = 0; i < 3000; i++) {
+    state.transact([], [{ put: `w/k/${i}`, value: i }]);
+    state.transact([], [{ remove: `w/k/${i}` }]);
+    if (i % 10 === 0) await clock.run(100);
+  }
+  const version = state.revision - 1;
+  await clock.run(1500);
+  // Read before it was deleted, answered after.
+  mirror.learn({ key: "w/k/2999", value: 2999, version, deleted: false }, mirror.mark());
+  assert.equal(mirror.rows.size, 0, "a deleted key has come back");
+  await clock.run(300_000);
+  assert.equal(mirror.remembered, 0);
+  mirror.stop();
+});
+
+test("mirror: an answer from before a listing does not bring back what the listing passed over", async () => {
+  const { clock, state, mirror } = watched(0);
+  state.transact([], [{ put: "w/j/x", value: "open" }]);
+  const early = { key: "w/j/x", value: "open", version: state.revision, deleted: false };
+  const mark = mirror.mark();
+  state.transact([], [{ put: "w/j/x", value: "done" }]);
+  mirror.passes = ({ value }) => value === "done";
+  void mirror.run();
+  await clock.run(1000);
+  mirror.learn(early, mark);
+  assert.equal(mirror.rows.get("w/j/x"), undefined, "an older state of it is in memory now");
+  mirror.stop();
+});
+
+test("returned machines: known while their record is there", () => {
+  const { mirror } = watched(0);
+  const told: string[] = [];
+  const gone = new Gone(mirror, (machines) => told.push(...machines));
+  mirror.apply({ key: "w/g/1-1", value: ["a", "b"], version: 1, deleted: false });
+  mirror.apply({ key: "w/g/1-2", value: ["c"], version: 2, deleted: false });
+  assert.deepEqual([...gone.machines], ["a", "b", "c"]);
+  mirror.apply({ key: "w/g/1-1", value: undefined, version: 3, deleted: true });
+  assert.deepEqual([...gone.machines], ["c"]);
+  assert.deepEqual(told, ["a", "b", "c"]);
+});
--- /dev/null
+++ b/test/image-world.test.ts
@@ -0,0 +1,135 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { checkImage, collect, type Image, restoreImage } from "../src/image/index.js";
+import { isHeader } from "../src/jobs/header.js";
+import { Random } from "./support/random.js";
+import { World } from "./support/world.js";
+
+const TEAMS = [
+  { name: "red", cpus: 12, max: 20 },
+  { name: "blue", cpus: 8, max: 24 },
+];
+const limits = new Map(TEAMS.map(({ name, max }) => [name, { cpus: max, gpus: 0 }]));
+
+interface Restored {
+  world: World;
+  image: Image;
+  /** Jobs whose acceptance, end or cancellation was told between the image and the loss. */
+  late: Set<string>;
+}
+
+/** What of a day is told about a job: accepted, done, cancelled. */
+const told = (world: World): Map<string, string> =>
+  new Map(
+    [...world.jobs.values()].map((job) => [
+      job.id,
+      `${job.accepted} ${job.toldDone} ${job.toldCancelledAt !== null}`,
+    ]),
+  );
+
+/**
+ * A day on which an image is taken while everything goes on, and the state service is lost with all
+ * it had some time later. Workers go on meanwhile; some are cut off from everybody.
+ */
+async function lostDay(
+  seed: number,
+  meddle: (world: World) => void = () => undefined,
+): Promise<Restored> {
+  const world = new World(seed, 3, TEAMS, 10, {}, ["a"], () => ({
+    archive: { keep: 3, ageMs: 1000 },
+  }));
+  const { clock } = world;
+  const dice = new Random(seed + 50);
+  let jobs = 0;
+  const busy = async (steps: number): Promise<void> => {
+    for (let step = 0; step < steps; step++) {
+      const id = `wk-${String(jobs++).padStart(4, "0")}`;
+      const tasks = dice.int(1, 8);
+      world.submit(id, { team: dice.pick(TEAMS).name, tasks, runMs: dice.int(3000, 40_000) });
+      if (dice.chance(0.15)) clock.after(dice.int(100, 15_000), () => world.cancel(id));
+      await clock.run(dice.int(1000, 4000));
+    }
+  };
+  await clock.run(15_000);
+  await busy(25);
+  let image: Image | null = null;
+  const taking = collect(world.stores[0]!, () => clock.wall()).then((taken) => {
+    image = taken;
+  });
+  await busy(1);
+  await taking;
+  const before = told(world);
+  await busy(dice.int(4, 15));
+  for (const worker of world.workers.values()) worker.cut = dice.chance(0.2);
+  const after = told(world);
+  const late = new Set(
+    [...after].filter(([id, state]) => before.get(id) !== state).map(([id]) => id),
+  );
+  const state = world.loseState();
+  const fresh = { store: world.stores[0]!, clock, writeRps: 60 };
+  const restoring = restoreImage(image!, fresh);
+  for (let waited = 0; waited < 100 && !state.rows.has("w/restored"); waited++)
+    await clock.run(100);
+  // A controller that comes up too early does nothing with half of the records.
+  world.boot(0);
+  await clock.run(60_000);
+  await restoring;
+  meddle(world);
+  for (let n = 1; n < world.nodes; n++) world.boot(n);
+  await clock.run(20_000);
+  for (const worker of world.workers.values()) worker.cut = false;
+  await clock.run(500_000);
+  world.stop();
+  return { world, image: image!, late };
+}
+
+/** The job that a violation is about. */
+const jobOf = (detail: string): string => /^wk-\d+/.exec(detail)?.[0] ?? "";
+
+for (const seed of [1, 2, 3, 4, 5]) {
+  test(`restore: after the loss of everything, with workers still running (seed ${seed})`, async () => {
+    const { world, image, late } = await lostDay(seed);
+    assert.deepEqual(checkImage(image, { limits }), []);
+    // Nothing may run twice, exceed a limit, be in a wrong place or be called done too early. What
+    // was told between the image and the loss, and only that, can be lost.
+    const broken = world.violations.filter(
+      ({ rule, detail }) =>
+        !["forgotten", "went_back", "ran_cancelled"].includes(rule) || !late.has(jobOf(detail)),
+    );
+    assert.deepEqual(broken, []);
+    const records = world.state.rows.get("w/restored")!.value as { state: string };
+    assert.equal(records.state, "settled");
+    // Every job that the image has comes to its end.
+    for (const [key, { value }] of image.rows) {
+      if (!key.startsWith("w/j/") || !isHeader(value)) continue;
+      const job = world.jobs.get(key.slice(4))!;
+      assert.ok(job.toldDone || job.toldCancelledAt !== null, `${job.id} never ended`);
+    }
+    assert.ok(world.startedTasks > 50);
+  });
+}
+
+test("restore: without waiting until unknown tasks are gone, tasks run twice", async () => {
+  let twice = 0;
+  for (const seed of [1, 2, 3]) {
+    const { world } = await lostDay(seed, ({ state }) => {
+      const value = { ...(state.rows.get("w/restored")!.value as object), state: "settled" };
+      state.transact([], [{ put: "w/restored", value }]);
+    });
+    twice += world.violations.filter(({ rule }) => rule === "ran_twice").length;
+  }
+  assert.ok(twice > 0, "no task ran twice");
+});
+
+test("restore: without raised tokens, workers would listen to nobody", async () => {
+  const { world, image } = await lostDay(1, ({ state }) => {
+    const value = { ...(state.rows.get("w/restored")!.value as object), tokens: 0 };
+    state.transact([], [{ put: "w/restored", value }]);
+  });
+  const open = [...image.rows].filter(
+    ([key, { value }]) => key.startsWith("w/j/") && isHeader(value) && value.status === "open",
+  );
+  assert.ok(open.length > 0);
+  const ended = open.filter(([key]) => world.jobs.get(key.slice(4))!.toldDone).length;
+  assert.ok(ended < open.length, "all came to their end all the same");
+});
--- /dev/null
+++ b/test/image.test.ts
@@ -0,0 +1,578 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { gunzipSync, gzipSync } from "node:zlib";
+import { asyncBufferFromFile, parquetReadObjects } from "hyparquet";
+import { encodeLeaf, LAST, leafKey } from "../src/archive/index.js";
+import {
+  checkImage,
+  collect,
+  exportFinished,
+  type Image,
+  ImageError,
+  overview,
+  RestoreRefused,
+  readImage,
+  restoreImage,
+  TooFast,
+  tokensAbove,
+  writeImage,
+} from "../src/image/index.js";
+import { encodePage } from "../src/jobs/page.js";
+import type { Past } from "../src/jobs/past.js";
+import { StateService } from "../src/local/state.js";
+import type { JobSpec } from "../src/wire/jobs.js";
+import { FakeClock } from "./support/clock.js";
+import { LIMITS } from "./support/common.js";
+import { Random } from "./support/random.js";
+import { FakeStore } from "./support/store.js";
+
+const SPEC = { team: "red", tasks: 8, cpus: 1 } as JobSpec;
+const past = (status: Past["status"]): Past => ({
+  status,
+  tasks: 3,
+  done: status === "done" ? 3 : 1,
+  at: 1_764_000_000_000,
+  over: 1_764_000_060_000,
+  team: "red",
+});
+
+/** A small cluster as it should be: two parts, a job in both, one done, one cancelled, an archive. */
+function sound(): Image {
+  const rows: [string, unknown][] = [
+    ["w/schema", { version: 2 }],
+    ["w/lead", { schema: 2 }],
+    ["w/2/lead", { node: "n0", run: "r" }],
+    ["w/p/0", { node: "n0", run: "r" }],
+    ["w/n/n0", { run: "r" }],
+    ["w/s/0", { use: {} }],
+    ["w/q/red", { 0: [4, 0], 1: [3.5, 0] }],
+    ["w/g/3-1", ["host-1"]],
+    [
+      "w/j/wk-open",
+      {
+        status: "open",
+        spec: SPEC,
+        owners: "01x",
+        chunkSize: 3,
+        at: 5,
+        started: true,
+        moves: 1,
+        tasks: 8,
+      },
+    ],
+    [
+      "w/j/wk-done",
+      { status: "done", owners: "", chunkSize: 1, at: 5, started: true, moves: 0, tasks: 1 },
+    ],
+    [
+      "w/j/wk-gone",
+      {
+        status: "cancelled",
+        spec: SPEC,
+        owners: "0x",
+        chunkSize: 4,
+        at: 5,
+        started: true,
+        moves: 0,
+        tasks: 8,
+      },
+    ],
+    [
+      "c/0/p/0",
+      encodePage([
+        [
+          "wk-open/0",
+          { attempts: 3, done: "1", live: [{ index: 0, attempt: 3, machine: "host-2" }] },
+        ],
+        [
+          "wk-gone/0",
+          { attempts: 1, done: "", live: [{ index: 2, attempt: 1, machine: "host-2" }] },
+        ],
+      ]),
+    ],
+    ["c/1/p/0", encodePage([["wk-open/1", { attempts: 1, done: "0-1", live: [] }]])],
+    ["c/1/m/wk-open/1", encodePage([["wk-open/1", { attempts: 1, done: "0", live: [] }]])],
+    ["c/0/fence", "9.4"],
+    [
+      leafKey("wk-b"),
+      encodeLeaf("", [
+        ["wk-a", past("done")],
+        ["wk-b", past("cancelled")],
+      ]),
+    ],
+    [leafKey(LAST), encodeLeaf("wk-b", [["wk-c", past("done")]])],
+  ];
+  return {
+    revision: 100,
+    takenAt: 1_764_000_100_000,
+    rows: new Map(rows.map(([key, value], i) => [key, { value, version: 10 + i }])),
+  };
+}
+
+const limits = new Map([["red", { cpus: 7.5, gpus: 0 }]]);
+
+test("check: a sound image has no findings", () => {
+  assert.deepEqual(checkImage(sound(), { limits }), []);
+});
+
+const put =
+  (key: string, value: unknown) =>
+  (image: Image): void => {
+    image.rows.set(key, { value, version: image.rows.get(key)?.version ?? 50 });
+  };
+const edit =
+  (key: string, changes: object) =>
+  (image: Image): void => {
+    put(key, { ...(image.rows.get(key)!.value as object), ...changes })(image);
+  };
+const page = (name: string, attempts: number, done: string, live: [number, number, string][]) =>
+  encodePage([
+    [
+      name,
+      {
+        attempts,
+        done,
+        live: live.map(([index, attempt, machine]) => ({ index, attempt, machine })),
+      },
+    ],
+  ]);
+
+const BROKEN: [what: string, damage: (image: Image) => void, key: string, problem: RegExp][] = [
+  [
+    "a stamp beyond the revision",
+    (image) => image.rows.set("w/types", { value: [], version: 101 }),
+    "w/types",
+    /beyond/,
+  ],
+  ["a header that is none", put("w/j/wk-open", 7), "w/j/wk-open", /not a header/],
+  [
+    "an id that is none",
+    put("w/j/nonsense", { status: "done", owners: "" }),
+    "w/j/nonsense",
+    /not a job's id/,
+  ],
+  ["too few owners", edit("w/j/wk-open", { owners: "01" }), "w/j/wk-open", /2 owners of 3/],
+  [
+    "a done job with owners",
+    edit("w/j/wk-done", { owners: "0" }),
+    "w/j/wk-done",
+    /parts have chunks/,
+  ],
+  [
+    "an open job without its spec",
+    edit("w/j/wk-open", { spec: undefined }),
+    "w/j/wk-open",
+    /without its spec/,
+  ],
+  [
+    "an open job that a part gave up",
+    edit("w/j/wk-open", { owners: "0-x" }),
+    "w/j/wk-open",
+    /given it up/,
+  ],
+  ["a chunk of no job", put("c/0/p/1", page("wk-who/0", 1, "", [])), "c/0/p/1", /without a header/],
+  [
+    "a chunk in the wrong part",
+    put("c/0/p/1", page("wk-open/1", 1, "", [])),
+    "c/0/p/1",
+    /belongs to part 1/,
+  ],
+  [
+    "a chunk that is finished",
+    put("c/0/p/1", page("wk-open/2", 1, "", [])),
+    "c/0/p/1",
+    /is finished/,
+  ],
+  [
+    "a chunk that does not exist",
+    put("c/0/p/1", page("wk-open/7", 1, "", [])),
+    "c/0/p/1",
+    /does not exist/,
+  ],
+  [
+    "a chunk in two pages",
+    put("c/0/p/1", page("wk-open/0", 3, "1", [])),
+    "c/0/p/1",
+    /in c\/0\/p\/0 as well/,
+  ],
+  [
+    "a task that is placed twice",
+    put(
+      "c/0/p/0",
+      page("wk-open/0", 3, "", [
+        [0, 1, "a"],
+        [0, 2, "b"],
+      ]),
+    ),
+    "c/0/p/0",
+    /placed twice/,
+  ],
+  [
+    "a task that is done and placed",
+    put("c/0/p/0", page("wk-open/0", 3, "0", [[0, 1, "a"]])),
+    "c/0/p/0",
+    /done and placed/,
+  ],
+  [
+    "tasks beyond the chunk",
+    put("c/0/p/0", page("wk-open/0", 3, "1-9", [])),
+    "c/0/p/0",
+    /1-9 of 3/,
+  ],
+  [
+    "an attempt not given out",
+    put("c/0/p/0", page("wk-open/0", 1, "", [[0, 2, "a"]])),
+    "c/0/p/0",
+    /attempt 2 of 1/,
+  ],
+  ["a page that is none", put("c/0/p/0", "?"), "c/0/p/0", /not a page/],
+  [
+    "slices beyond the limit",
+    put("w/q/red", { 0: [4, 0], 1: [3.6, 0] }),
+    "w/q/red",
+    /limit is 7.5/,
+  ],
+  ["a negative slice", put("w/q/red", { 0: [-1, 0] }), "w/q/red", /part 0 has -1/],
+  [
+    "an archived job with a header",
+    put("w/j/wk-a", {
+      status: "done",
+      owners: "",
+      chunkSize: 1,
+      at: 0,
+      started: true,
+      moves: 0,
+      tasks: 3,
+    }),
+    "w/j/wk-a",
+    /archive as well/,
+  ],
+  ["a leaf with a wrong sum", edit(leafKey(LAST), { c: 1 }), leafKey(LAST), /checksum/],
+  [
+    "a missing leaf",
+    (image) => image.rows.delete(leafKey("wk-b")),
+    leafKey(LAST),
+    /begins behind "wk-b"/,
+  ],
+  ["a missing last leaf", (image) => image.rows.delete(leafKey(LAST)), leafKey(LAST), /is missing/],
+  [
+    "an archive of no schema",
+    (image) => image.rows.delete("w/schema"),
+    leafKey("wk-b"),
+    /no schema/,
+  ],
+  ["a schema of the future", put("w/schema", { version: 3 }), "w/schema", /schema 3/],
+  [
+    "leadership open to old programs",
+    (image) => image.rows.delete("w/lead"),
+    "w/lead",
+    /from leading/,
+  ],
+  ["a fence newer than the claim", put("c/0/fence", "14.1"), "c/0/fence", /token 14/],
+  ["a fence that is none", put("c/0/fence", "x"), "c/0/fence", /mark/],
+];
+for (const [what, damage, key, problem] of BROKEN) {
+  test(`check: names the key of ${what}`, () => {
+    const image = sound();
+    damage(image);
+    const findings = checkImage(image, { limits });
+    const found = findings.find((one) => one.key === key && problem.test(one.problem));
+    assert.ok(found !== undefined, JSON.stringify(findings));
+  });
+}
+
+test("show: numbers of what an image holds", () => {
+  const { jobs, leaves, parts, gone, schema } = overview(sound());
+  assert.deepEqual(jobs, { open: 1, done: 1, cancelled: 1, archived: 3 });
+  assert.deepEqual([leaves, gone, schema], [2, 1, 2]);
+  assert.deepEqual(parts, { 0: { chunks: 2, placed: 2 }, 1: { chunks: 2, placed: 0 } });
+});
+
+// ---- files -----------------------------------------------------------------------------------
+
+async function inFolder<T>(run: (folder: string) => Promise<T>): Promise<T> {
+  const folder = mkdtempSync(join(tmpdir(), "birchdale-"));
+  try {
+    return await run(folder);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+}
+
+test("files: an image is read as it was written", () =>
+  inFolder(async (folder) => {
+    const file = join(folder, "image.tgz");
+    const image = sound();
+    image.rows.set("w/x/text", { value: 'Καλημέρα\n"\\', version: 7 });
+    await writeImage(file, image);
+    assert.deepEqual(await readImage(file), {
+      ...image,
+      rows: new Map(
+        [...image.rows].sort().map(([key, row]) => [key, JSON.parse(JSON.stringify(row))]),
+      ),
+    });
+    await assert.rejects(writeImage(join(folder, "no", "image"), image), { code: "ENOENT" });
+  }));
+
+const tampered: [string, (bytes: Buffer) => Buffer, RegExp][] = [
+  ["cut short", (bytes) => bytes.subarray(0, bytes.length - 40), /not a whole image/],
+  ["not gzip", () => Buffer.from("hello"), /not a whole image/],
+  ["one value changed", (bytes) => swap(bytes, "host-2", "host-3"), /c\.jsonl: the checksum/],
+  ["a manifest that is none", (bytes) => swap(bytes, '"revision"', '"revisiom"'), /manifest/],
+  ["a format of the future", (bytes) => swap(bytes, '"format": 1', '"format": 9'), /format 9/],
+];
+const swap = (bytes: Buffer, from: string, to: string): Buffer => {
+  const text = gunzipSync(bytes).toString("latin1");
+  assert.ok(text.includes(from));
+  return gzipSync(Buffer.from(text.replaceAll(from, to), "latin1"));
+};
+for (const [what, change, reason] of tampered) {
+  test(`files: ${what} is refused, naming the file`, () =>
+    inFolder(async (folder) => {
+      const file = join(folder, "image.tgz");
+      await writeImage(file, sound());
+      writeFileSync(file, change(readFileSync(file)));
+      await assert.rejects(readImage(file), (error: Error) => {
+        assert.ok(error instanceof ImageError);
+        assert.match(error.message, reason);
+        assert.ok(error.message.startsWith(file));
+        return true;
+      });
+    }));
+}
+
+test("export: every job that is over, once, in Parquet", () =>
+  inFolder(async (folder) => {
+    const file = join(folder, "jobs.parquet");
+    assert.equal(await exportFinished(sound(), file), 5);
+    const rows = await parquetReadObjects({ file: await asyncBufferFromFile(file) });
+    assert.deepEqual(
+      rows.map(({ id, status, tasks, done, team }) => [id, status, tasks, done, team]),
+      [
+        ["wk-a", "done", 3, 3, "red"],
+        ["wk-b", "cancelled", 3, 1, "red"],
+        ["wk-c", "done", 3, 3, "red"],
+        ["wk-done", "done", 1, 1, undefined],
+        ["wk-gone", "cancelled", 8, 4, "red"],
+      ],
+    );
+    assert.equal((rows[0]!.over as Date).getTime(), 1_764_000_060_000);
+    assert.equal(rows[3]!.over, undefined);
+  }));
+
+// ---- taking an image while things change -----------------------------------------------------
+
+function service(seed: number) {
+  const clock = new FakeClock();
+  const state = new StateService(clock, LIMITS);
+  const store = new FakeStore(state, clock, new Random(seed), LIMITS, 2000);
+  return { clock, state, store };
+}
+
+async function within<T>(clock: FakeClock, asked: Promise<T>, ms = 600_000): Promise<T> {
+  let over = false;
+  asked.then(
+    () => {
+      over = true;
+    },
+    () => {
+      over = true;
+    },
+  );
+  for (let waited = 0; waited < ms && !over; waited += 50) await clock.run(50);
+  return asked;
+}
+
+for (const seed of [1, 2, 3, 4]) {
+  test(`images: are what was there at one revision, whatever changes meanwhile (seed ${seed})`, async () => {
+    const { clock, state, store } = service(seed);
+    const dice = new Random(seed + 100);
+    const history = new Map<number, string>();
+    const snapshot = (): void => {
+      const all = [...state.rows].map(([key, { value, version }]) => [key, value, version]).sort();
+      history.set(state.revision, JSON.stringify(all));
+    };
+    const change = (): void => {
+      // Always over all three prefixes at once, so that a mixture of two revisions would show.
+      const at = `${dice.int(0, 1500)}`;
+      const then = ["w/", "c/", "a/"].map((prefix) =>
+        dice.chance(0.3) ? { remove: prefix + at } : { put: prefix + at, value: dice.int(0, 9) },
+      );
+      state.transact([], then);
+    };
+    for (let i = 0; i < 3000; i++) change();
+    snapshot();
+    let stopped = false;
+    const churn = (): void => {
+      if (stopped) return;
+      change();
+      snapshot();
+      clock.after(dice.int(1, 6), churn);
+    };
+    churn();
+    const image = await within(
+      clock,
+      collect(store, () => 5),
+    );
+    stopped = true;
+    assert.ok(image.revision > 3000);
+    const taken = [...image.rows].map(([key, { value, version }]) => [key, value, version]).sort();
+    assert.equal(JSON.stringify(taken), history.get(image.revision));
+  });
+}
+
+test("images: given up with one clear line when changes come too fast", async () => {
+  const { clock, state, store } = service(1);
+  for (let i = 0; i < 2500; i++) state.transact([], [{ put: `w/${i}`, value: i }]);
+  const page = store.page.bind(store);
+  store.page = async (...asked) => {
+    const found = await page(...asked);
+    for (let i = 0; i < 11_000; i++) state.transact([], [{ put: `w/${i % 2500}`, value: i }]);
+    return found;
+  };
+  const asked = collect(store, () => 0);
+  asked.catch(() => undefined);
+  await assert.rejects(within(clock, asked), TooFast);
+});
+
+// ---- restoring -------------------------------------------------------------------------------
+
+const WALL = 1_700_000_000_000;
+const imageOf = (): Image => ({ ...sound(), takenAt: WALL - 60_000 });
+
+const filling = (target: ReturnType<typeof service>, image: Image) =>
+  restoreImage(image, { store: target.store, clock: target.clock, writeRps: 80 });
+
+/** All but what stands for controllers that are up, and hints. */
+const kept = (image: Image): [string, unknown][] =>
+  [...image.rows]
+    .filter(([key]) => !/^w\/(n|p|s)\/|^w\/2\/lead$/.test(key))
+    .map(([key, { value }]): [string, unknown] => [key, JSON.parse(JSON.stringify(value))])
+    .sort();
+
+const held = (state: StateService): [string, unknown][] =>
+  [...state.rows]
+    .filter(([key]) => key !== "w/restored")
+    .map(([key, { value }]): [string, unknown] => [key, JSON.parse(JSON.stringify(value))])
+    .sort();
+
+test("restore: fills an empty service, and raises tokens above all that there were", async () => {
+  const target = service(1);
+  const image = imageOf();
+  const { rows, tokens } = await within(target.clock, filling(target, image));
+  assert.equal(rows, kept(image).length);
+  assert.deepEqual(held(target.state), kept(image));
+  // A minute has passed, at 80 changes a second.
+  assert.ok(tokens > image.revision + 60 * 80);
+  const { state } = target.state.rows.get("w/restored")!.value as { state: string };
+  assert.equal(state, "settling");
+  assert.deepEqual(
+    checkImage({ ...image, rows: new Map([...target.state.rows]), revision: 1e9 }),
+    [],
+  );
+});
+
+test("restore: of an image of a restored service, tokens are above those of both before", () => {
+  const image = imageOf();
+  const record = { state: "settled", image: { revision: 5, takenAt: 5 }, tokens: 1_000_000 };
+  image.rows.set("w/restored", { value: record, version: 40 });
+  assert.ok(tokensAbove(image, WALL, 80) > 1_000_000 + image.revision);
+});
+
+const REFUSED: [string, (target: ReturnType<typeof service>, image: Image) => void, RegExp][] = [
+  [
+    "a service that is not empty",
+    ({ state }) => void state.transact([], [{ put: "w/n/x", value: 1 }]),
+    /not empty: it has w\/n\/x/,
+  ],
+  ["an image with findings", (_target, image) => void image.rows.delete(leafKey(LAST)), /findings/],
+  [
+    "an image from the future",
+    (_target, image) => void Object.assign(image, { takenAt: WALL + 100_000 }),
+    /future/,
+  ],
+  [
+    "a service that is being filled from another image",
+    ({ state }) =>
+      void state.transact(
+        [],
+        [
+          {
+            put: "w/restored",
+            value: { state: "filling", image: { revision: 1, takenAt: 1 }, tokens: 1 },
+          },
+        ],
+      ),
+    /another image/,
+  ],
+];
+for (const [what, prepare, reason] of REFUSED) {
+  test(`restore: refuses ${what}`, async () => {
+    const target = service(1);
+    const image = imageOf();
+    prepare(target, image);
+    const before = held(target.state);
+    const asked = filling(target, image);
+    asked.catch(() => undefined);
+    await assert.rejects(within(target.clock, asked), (error: Error) => {
+      assert.ok(error instanceof RestoreRefused);
+      assert.match(error.message, reason);
+      return true;
+    });
+    assert.deepEqual(held(target.state), before);
+  });
+}
+
+test("restore: ended at any request, and begun anew, it fills the same; twice is refused", async () => {
+  let ends = 0;
+  for (let at = 1; ; at++) {
+    const target = service(at);
+    let left = at;
+    const { transact, page, get } = target.store;
+    const cut =
+      <A extends unknown[], T>(run: (...asked: A) => Promise<T>) =>
+      async (...asked: A): Promise<T> => {
+        // It ends behind this request: that may have been carried out.
+        const answer = await run.apply(target.store, asked);
+        if (--left === 0) throw new Error("ended");
+        return answer;
+      };
+    Object.assign(target.store, { transact: cut(transact), page: cut(page), get: cut(get) });
+    const first = filling(target, imageOf());
+    first.catch(() => undefined);
+    const whole = await within(target.clock, first).then(
+      () => true,
+      (error: Error) => {
+        assert.equal(error.message, "ended");
+        return false;
+      },
+    );
+    const marker = target.state.rows.get("w/restored")?.value as { state: string } | undefined;
+    Object.assign(target.store, { transact, page, get });
+    if (whole || marker?.state === "settling") {
+      const again = filling(target, imageOf());
+      again.catch(() => undefined);
+      await assert.rejects(within(target.clock, again), /already/);
+    } else {
+      ends++;
+      await within(target.clock, filling(target, imageOf()));
+    }
+    assert.deepEqual(held(target.state), kept(imageOf()));
+    if (whole) break;
+  }
+  assert.ok(ends > 5, `ended at ${ends} requests`);
+});
+
+test("restore: transactions that are not answered, and applied late, do no harm", async () => {
+  for (let seed = 1; seed <= 12; seed++) {
+    const target = service(seed);
+    target.store.loss = 0.4;
+    await within(target.clock, filling(target, imageOf()));
+    target.store.loss = 0;
+    await target.clock.run(60_000);
+    assert.deepEqual(held(target.state), kept(imageOf()));
+  }
+});
--- a/test/market-world.test.ts
+++ b/test/market-world.test.ts
@@ -408,7 +408,11 @@
   const token = state.revision;
   void mirror.run();
   const attached = operators.extensions[0]!.attach(core);
-  const led = attached.lead!({ token, key: "w/lead", valid: () => true });
+  const led = attached.lead!({
+    token,
+    claim: { key: "w/lead", version: token },
+    valid: () => true,
+  });
   await clock.run(30_000);
   const before = state.rows.get("w/m/round")?.version ?? 0;
   assert.ok(before > 0, "as long as it leads, it holds rounds");
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -58,6 +58,9 @@
     this.part = new Part(
       {
         index: 0,
+        claim: { key: "w/p/0", version: this.token },
+        settling: () => false,
+        settleMs: 0,
         token: this.token,
         store: this.store,
         mirror: this.mirror,
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -4,6 +4,7 @@
 import { decodeFrame, encodeFrame } from "../../src/peer/frames.js";
 import type { Operators } from "../../src/settings/operators.js";
 import { parseSettings, type Settings } from "../../src/settings/settings.js";
+import type { StoreLimits } from "../../src/state/store.js";
 import { decode, encode } from "../../src/wire/cbor.js";
 import type { Command } from "../../src/wire/workers.js";
 import { FakeClock } from "./clock.js";
@@ -278,7 +279,8 @@
 export class World {
   readonly clock = new FakeClock();
   readonly random: Random;
-  readonly state: FakeState;
+  /** The state service; another one after a restore. */
+  state: FakeState;
   readonly workers = new Map<string, Worker>();
   readonly jobs = new Map<string, Job>();
   readonly violations: Violation[] = [];
@@ -307,6 +309,7 @@
   readonly #requests = new Map<string, string[]>();
   #machines = 0;
   #runs = 0;
+  readonly #limits: StoreLimits;
 
   constructor(
     seed: number,
@@ -330,6 +333,7 @@
       txnBytes: 48 * 1024,
     };
     this.state = new FakeState(this.clock, limits);
+    this.#limits = limits;
     if (sabotage.ignoreConditions === true) {
       const real = this.state.transact.bind(this.state);
       this.state.transact = (_when, then) => real([], then);
@@ -389,6 +393,23 @@
     this.clock.after(500, probe);
   }
 
+  /**
+   * All controllers end, and the state service is lost with all that it had. An empty one is in its
+   * place; the controllers start when `boot` is called.
+   */
+  loseState(): FakeState {
+    for (const [n, controller] of this.controllers.entries()) {
+      controller?.stop();
+      this.controllers[n] = null;
+    }
+    this.state.stop();
+    this.state = new FakeState(this.clock, this.#limits);
+    for (let n = 0; n < this.nodes; n++) {
+      this.stores[n] = new FakeStore(this.state, this.clock, this.random, this.#limits, 2000);
+    }
+    return this.state;
+  }
+
   crash(n: number, forMs = 5000): void {
     const controller = this.controllers[n];
     if (controller === null || controller === undefined) return;
