Local: begins from an image; what is archived shows in the status; more guards tested

Need: a restore could not be tried without a platform of one's own, and the status page said nothing of history.

Tests: polls for unknown jobs leave most requests to the work; a job whose header is gone.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -412,7 +412,9 @@
       jobs: this.#standing.jobsOf(name),
     }));
     const node = this.#settings.node_name;
+    const history = this.#history.status();
     const more = this.#attached.map(({ status }) => status?.() ?? {});
-    return Object.assign({ node, leads: this.#fleet !== null, teams, parts }, ...more);
+    const leads = this.#fleet !== null;
+    return Object.assign({ node, leads, teams, parts, history }, ...more);
   }
 }
--- a/src/controller/history.ts
+++ b/src/controller/history.ts
@@ -49,6 +49,7 @@
   #backlogSince: number | null = null;
   #cursor: string | null = null;
   #foundInWalk = 0;
+  #moved = 0;
   #batch: Row[] = [];
   #loading: Promise<ArchivePackage> | null = null;
   #lookups: Lookups | null = null;
@@ -85,9 +86,15 @@
     core.mirror.passes = (row) => this.#passes(row);
   }
 
-  /** How many jobs that are over are in memory. */
-  get remembered(): number {
-    return this.#over.size + this.#kept.size;
+  /** For people: the schema, how many jobs that are over are in memory, and what was read and moved. */
+  status(): object {
+    return {
+      schema: schemaOf(this.core.mirror).version,
+      over: this.#over.size + this.#kept.size,
+      backlog: this.#backlogSince !== null,
+      reads: this.#lookups?.reads ?? 0,
+      moved: this.#moved,
+    };
   }
 
   /** Looks again at some of those that a package had read: they are many, and change rarely. */
@@ -280,6 +287,7 @@
       },
       gone: (rows, revision) => {
         drop(rows);
+        this.#moved += rows.length;
         for (const { key } of rows) {
           this.core.mirror.apply({ key, value: undefined, version: revision, deleted: true });
         }
--- a/src/image/commands.ts
+++ b/src/image/commands.ts
@@ -38,6 +38,27 @@
   }
 }
 
+/**
+ * Fills the state service that settings name from a file.
+ * @throws ImageError, RestoreRefused
+ */
+export async function restoreFile(
+  file: string,
+  settings: Settings,
+  progress?: (done: number, all: number) => void,
+): Promise<{ rows: number; tokens: number }> {
+  const image = await readImage(file);
+  return withStore(settings, 0.9, (store) =>
+    restoreImage(image, {
+      store,
+      clock: systemClock,
+      writeRps: settings.params.state.write_rps,
+      members: clusterOf(settings).map(({ name }) => name),
+      progress,
+    }),
+  );
+}
+
 const limitsOf = ({ params }: Settings): Map<string, { cpus: number; gpus: number }> =>
   new Map(params.teams.map((team) => [team.name, { cpus: team.cpus_max, gpus: team.gpus_max }]));
 
@@ -108,23 +129,13 @@
     .description("fill an empty state service from an image; stop all controllers first")
     .argument("<file>", "an image")
     .action(async (file: string) => {
-      const parsed = settings();
-      const image = await readImage(file);
       let shown = 0;
       try {
-        const { rows, tokens } = await withStore(parsed, 0.9, (store) =>
-          restoreImage(image, {
-            store,
-            clock: systemClock,
-            writeRps: parsed.params.state.write_rps,
-            members: clusterOf(parsed).map(({ name }) => name),
-            progress: (done, all) => {
-              if (done < all && done - shown < 1000) return;
-              shown = done;
-              process.stderr.write(`${done} of ${all} keys\n`);
-            },
-          }),
-        );
+        const { rows, tokens } = await restoreFile(file, settings(), (done, all) => {
+          if (done < all && done - shown < 1000) return;
+          shown = done;
+          process.stderr.write(`${done} of ${all} keys\n`);
+        });
         out(`${rows} keys restored; tokens are raised by ${tokens}. Start the controllers now.`);
       } catch (error) {
         if (!(error instanceof RestoreRefused)) throw error;
--- a/src/image/index.ts
+++ b/src/image/index.ts
@@ -5,7 +5,7 @@
  */
 export { type CheckOptions, checkImage, type Finding } from "./check.js";
 export { collect, type Image, PREFIXES, TooFast } from "./collect.js";
-export { imageCommands } from "./commands.js";
+export { imageCommands, restoreFile } from "./commands.js";
 export { exportFinished } from "./export.js";
 export { ImageError, readImage, writeImage } from "./file.js";
 export { RestoreRefused, restorable, restoreImage, tokensAbove } from "./restore.js";
--- a/src/local/command.ts
+++ b/src/local/command.ts
@@ -13,6 +13,10 @@
   tuning: readonly string[];
   /** Whether jobs may run commands on this machine. */
   commands: boolean;
+  /** Whether controllers archive jobs that are over. */
+  archive: boolean;
+  /** An image that the state service is filled from before controllers start. */
+  from?: string;
   /** The program that controllers run: this one. */
   program: string;
   write(text: string): void;
@@ -24,7 +28,7 @@
  * @throws SettingsError when the operators' settings are wrong, before any controller starts
  */
 export async function runLocal(options: LocalOptions, signal: AbortSignal): Promise<void> {
-  const { controllers, machines, port, tuning, commands, program, write } = options;
+  const { controllers, machines, port, tuning, commands, program, write, archive, from } = options;
   const platform = new Platform({ controllers, machines, commands });
   const folder = mkdtempSync(join(tmpdir(), "birchdale-"));
   const children = new Map<number, ChildProcess>();
@@ -33,7 +37,11 @@
     signal.addEventListener("abort", () => resolve(), { once: true });
   });
   const launch = (n: number, file: string): void => {
-    const args = [program, ...tuning.flatMap((name) => ["--tuning", name]), "--config", file];
+    const more = [
+      ...tuning.flatMap((name) => ["--tuning", name]),
+      ...(archive ? ["--archive"] : []),
+    ];
+    const args = [program, ...more, "--config", file];
     const child = spawn(process.execPath, args, {
       stdio: ["ignore", "ignore", "inherit"],
       env: { ...process.env, LOG_LEVEL: process.env.LOG_LEVEL ?? "error" },
@@ -53,9 +61,17 @@
       return file;
     });
     await loadOperators(tuning, loadSettings(files[0]!));
+    if (from !== undefined) {
+      const { restoreFile } = await import("../image/index.js");
+      const { rows } = await restoreFile(from, loadSettings(files[0]!));
+      write(`${rows} keys restored from ${from}\n`);
+    }
     for (const [n, file] of files.entries()) launch(n, file);
-    if (!(await platform.ready())) throw new Error("no controller is ready after 30 s");
+    // After a restore they first find out what may still be running.
+    if (!(await platform.ready(from === undefined ? 30_000 : 120_000)))
+      throw new Error("no controller is ready in time");
     const teams = platform.settings[0]!.params.teams.map(({ name }) => name).join(", ");
+    write(`settings of the first controller: ${files[0]!}\n`);
     write(`ready: submit to ${platform.front.address}, teams ${teams}; end with ctrl-c\n`);
     await ended;
   } finally {
--- a/src/main.ts
+++ b/src/main.ts
@@ -236,7 +236,8 @@
   .option("--machines <m>", "how many machines of each type, zone and kind there are", count, 8)
   .option("--port <port>", "where users submit; 0 for any", count, 8080)
   .option("--commands", "let jobs run the command they name, on this machine")
-  .action(async (options: Omit<LocalOptions, "tuning" | "program" | "write">) => {
+  .option("--from <image>", "begin with what an image of `state save` holds")
+  .action(async (options: Omit<LocalOptions, "tuning" | "archive" | "program" | "write">) => {
     const { runLocal } = await import("./local/index.js");
     const stop = new AbortController();
     for (const name of ["SIGINT", "SIGTERM"] as const) process.once(name, () => stop.abort());
@@ -244,6 +245,7 @@
       {
         ...options,
         commands: options.commands === true,
+        archive: program.opts<ServeOptions>().archive === true,
         tuning: program.opts<{ tuning?: string[] }>().tuning ?? [],
         program: fileURLToPath(import.meta.url),
         write: (text) => process.stdout.write(text),
--- a/src/state/restored.ts
+++ b/src/state/restored.ts
@@ -26,11 +26,24 @@
 export const parseRestored = (value: unknown): RestoredRecord | null =>
   record.safeParse(value).data ?? null;
 
+/** What has been parsed: it is asked for with every report. */
+const known = new WeakMap<object, RestoredRecord | null>();
+
+function parsedOnce(value: unknown): RestoredRecord | null {
+  if (typeof value !== "object" || value === null) return null;
+  let parsed = known.get(value);
+  if (parsed === undefined) {
+    parsed = parseRestored(value);
+    known.set(value, parsed);
+  }
+  return parsed;
+}
+
 /** Whether what is there was restored from an image, as far as a controller has heard. */
 export function restoredOf(mirror: Mirror): Restored {
   const row = mirror.rows.get(keys.restored);
   if (row === undefined) return { state: "none", tokens: 0, version: 0 };
-  const parsed = parseRestored(row.value);
+  const parsed = parsedOnce(row.value);
   // What cannot be read keeps everybody from acting, until somebody has looked at it.
   if (parsed === null) return { state: "filling", tokens: 0, version: row.version };
   return { state: parsed.state, tokens: parsed.tokens, version: row.version };
--- a/test/market-day.test.ts
+++ b/test/market-day.test.ts
@@ -174,7 +174,7 @@
   const inputs = [...loaded].flatMap((file) => Object.keys(metafile.outputs[file]?.inputs ?? {}));
   assert.ok(inputs.some((file) => file.endsWith("src/controller/controller.ts")));
   const optional =
-    /src\/(market|local|classad|submit)\/|node_modules\/(luxon|cron-parser|@?chevrotain|lodash-es|re2js|echarts|zrender|hdr-histogram-js|protobufjs|prom-client)\//;
+    /src\/(market|local|classad|submit|archive|image)\/|node_modules\/(luxon|cron-parser|@?chevrotain|lodash-es|re2js|echarts|zrender|hdr-histogram-js|protobufjs|prom-client|lru-cache|tar-stream|hyparquet-writer)\//;
   assert.deepEqual(
     inputs.filter((file) => optional.test(file)),
     [],
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -608,3 +608,23 @@
   }
   assert.deepEqual(bench.state.rows.get("w/q/red")!.value, { 0: "all" });
 });
+
+test("records: a part that still holds a job whose header was archived gives it up", async () => {
+  const bench = new Bench();
+  bench.put(PLACED);
+  bench.put({ put: "w/j/wk-000001", value: header() });
+  await bench.takeOver();
+  await bench.report("old", { tasks: [running] });
+  // It was over, and archived, while this controller was out of touch.
+  bench.put({ remove: "w/j/wk-000001" });
+  await bench.clock.run(3000);
+  const commands = await bench.report("old", { seq: 2, tasks: [running] });
+  assert.deepEqual(
+    commands.map(({ verb, piece }) => `${verb} ${piece}`),
+    [],
+  );
+  await bench.report("old", { seq: 3 });
+  await bench.clock.run(3000);
+  assert.equal(bench.part.jobs.size, 0);
+  assert.equal(bench.state.rows.has("w/j/wk-000001"), false, "its header has come back");
+});
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -2,10 +2,12 @@
 import { test } from "node:test";
 import { beginArchive, behind, Lookups, Mover } from "../src/archive/index.js";
 import { Forgetting } from "../src/cloud/forgetting.js";
+import { Standing } from "../src/controller/standing.js";
 import type { Core, Leading } from "../src/extension/index.js";
 import { doneHeader, type Header } from "../src/jobs/header.js";
 import { StateService } from "../src/local/state.js";
 import { Layout } from "../src/membership/layout.js";
+import { Summaries } from "../src/part/summary.js";
 import type { Operators } from "../src/settings/operators.js";
 import { keys } from "../src/state/keys.js";
 import { Mirror } from "../src/state/mirror.js";
@@ -120,6 +122,43 @@
   for (const version of [1, 2]) assert.equal(unreadable({ version, stamp: 1 }), null);
 });
 
+test("polls: a thousand a second for jobs that never were leave most requests to the work", async () => {
+  const world = new World(1, 1, TEAMS, 2);
+  await world.clock.run(20_000);
+  const store = world.stores[0]!;
+  let gets = 0;
+  const get = store.get.bind(store);
+  store.get = (key) => {
+    gets++;
+    return get(key);
+  };
+  const counts = new Map<number, number>();
+  for (let second = 0; second < 5; second++) {
+    for (let i = 0; i < 1000; i++) {
+      void world.ask(0, "GET", `/api/jobs/wk-x${second * 1000 + i}`).then((answer) => {
+        counts.set(answer!.status, (counts.get(answer!.status) ?? 0) + 1);
+      });
+      await world.clock.run(1);
+    }
+  }
+  await world.clock.run(1000);
+  assert.deepEqual([...counts.keys()].sort(), [404, 503]);
+  // 200 requests a second; a quarter of them, and as many at first.
+  assert.ok(gets <= 50 * 5 + 50 + 5, `${gets} requests`);
+  world.stop();
+});
+
+test("standing: a job whose header is gone is open no more, though nobody heard of its end", () => {
+  const { mirror } = pieces();
+  const standing = new Standing(new Map(), new Map(), new Summaries(), new FakeClock(), 1000);
+  standing.follow(mirror, () => undefined);
+  const key = keys.job("wk-1");
+  mirror.apply({ key, value: { ...over, status: "open" }, version: 1, deleted: false });
+  assert.equal(standing.open.size, 1);
+  mirror.apply({ key, value: undefined, version: 2, deleted: true });
+  assert.equal(standing.open.size, 0);
+});
+
 // ---- pieces, on a store of their own -------------------------------------------------------
 
 const MEMBERS = ["n0", "n1"].map((name) => ({ name, zone: "a" }));
