--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -98,6 +98,19 @@
   });
 }
 
+test("schema: for four leases after the archive has begun nothing goes into it", async () => {
+  const world = new World(4, 3, TEAMS, 8, {}, ["a"], () => ({ archive }));
+  for (let i = 0; i < 12; i++) world.submit(`wk-${i}`, { team: "red", tasks: 1, runMs: 1000 });
+  const when = async (what: () => boolean): Promise<number> => {
+    while (!what()) await world.clock.run(100);
+    return world.clock.now();
+  };
+  const begun = await when(() => world.state.rows.has(keys.schema));
+  const first = await when(() => (world.state.rows.get("a/j/~")!.value as { n: number }).n > 0);
+  assert.ok(first - begun >= 4 * world.leaseMs, `after ${first - begun} ms`);
+  world.stop();
+});
+
 const SCHEMAS: [value: unknown, line: RegExp][] = [
   [{ version: 3 }, /schema 3; this program knows up to 2/],
   [{ version: "2" }, /cannot be read/],
