--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -67,7 +67,15 @@
   }
 
   async list(prefix: string): Promise<{ rows: Row[]; revision: number }> {
-    return this.page(prefix, null, Number.POSITIVE_INFINITY);
+    const rows: Row[] = [];
+    let first = Number.POSITIVE_INFINITY;
+    for (let after: string | null = null; ; ) {
+      const page: Page = await this.page(prefix, after, 1000);
+      first = Math.min(first, page.revision);
+      rows.push(...page.rows);
+      after = page.rows.at(-1)?.key ?? null;
+      if (!page.more || after === null) return { rows, revision: first };
+    }
   }
 
   page(prefix: string, after: string | null, most: number): Promise<Page> {
--- a/test/support/year.ts
+++ b/test/support/year.ts
@@ -59,9 +59,9 @@
     let jobs = 0;
     let leaves = 0;
     let from = "";
-    const { rows } = this.state.list(keys.archive, "", Number.POSITIVE_INFINITY);
-    for (const [key, { value, version }] of rows) {
-      const leaf = decodeLeaf({ key, value, version });
+    const all = [...this.state.rows.keys()].filter((key) => key.startsWith(keys.archive)).sort();
+    for (const key of all) {
+      const leaf = decodeLeaf({ key, ...this.state.rows.get(key)! });
       if (leaf.from !== from) throw new Error(`a gap before ${key}`);
       from = leaf.last;
       jobs += leaf.entries.length;
