Archiving: what an unanswered move has moved is no fault

Need: after a move that was not answered and was applied, its jobs were found in the leaf and reported as being in the archive and among the headers at once. Change: their headers are looked for before anything is said. Measured: a test loses the answer of a move; nothing is reported or set aside.

--- a/src/archive/mover.ts
+++ b/src/archive/mover.ts
@@ -32,7 +32,7 @@
 
   /** Moves some; false when there is nothing to move, or nothing to spare for it now. */
   async step(): Promise<boolean> {
-    const { store, log } = this.core;
+    const { store } = this.core;
     const { burst } = store.writes;
     // What is saved up is for renewals, placements and users: only from the upper half of it, and
     // no more at a time than comes back soon.
@@ -64,14 +64,31 @@
       return true;
     }
     if (move.doubled.length > 0) {
-      log.error({ jobs: move.doubled.map(id) }, "jobs that are in the archive have headers too");
-      this.candidates.setAside(move.doubled);
+      await this.#judge(move.doubled, leaf);
     }
     if (move.moved.length === 0) return true;
     if (!store.writes.take(move.changes.length, burst / 2)) return false;
     return this.#carryOut(move);
   }
 
+  /**
+   * Jobs that the leaf has already: mostly a move that was not answered has been applied, or another
+   * leader's, and their headers are gone. Only one that is still there is a fault.
+   */
+  async #judge(rows: readonly Row[], { version }: Leaf): Promise<void> {
+    const gone: Row[] = [];
+    const doubled: Row[] = [];
+    for (const row of rows) {
+      const there = await this.core.store.get(row.key);
+      (there === null ? gone : doubled).push(row);
+    }
+    this.candidates.gone(gone, version);
+    if (doubled.length === 0) return;
+    const names = doubled.map(({ key }) => key);
+    this.core.log.error({ names }, "jobs that are in the archive have headers too");
+    this.candidates.setAside(doubled);
+  }
+
   async #carryOut(move: Move): Promise<boolean> {
     const { store, log } = this.core;
     let result: Awaited<ReturnType<typeof store.transact>>;
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -291,6 +291,31 @@
   stopped = true;
 });
 
+test("archiving: what an unanswered move has moved is no fault, and is not moved again", async () => {
+  const { clock, state, store, core } = pieces();
+  const { encodeLeaf, LAST, leafKey } = await import("../src/archive/index.js");
+  state.transact([], [{ put: leafKey(LAST), value: encodeLeaf("", []) }]);
+  for (const id of ["wk-1", "wk-2"]) state.transact([], [{ put: keys.job(id), value: over }]);
+  let rows = [...state.rows]
+    .filter(([key]) => key.startsWith("w/j/"))
+    .map(([key, { value, version }]): Row => ({ key, value, version }));
+  const aside: string[] = [];
+  const gone = (some: readonly Row[]): void => {
+    rows = rows.filter((row) => !some.includes(row));
+  };
+  const setAside = (some: readonly Row[]): void => void aside.push(...some.map(({ key }) => key));
+  const leading: Leading = { token: 1, claim: { key: "x", version: 1 }, valid: () => true };
+  const lookups = new Lookups(store, clock, quiet, 1);
+  const mover = new Mover(core, lookups, { take: async () => rows, gone, setAside }, leading);
+  store.loss = 1;
+  await clock.within(mover.step().catch(() => undefined));
+  store.loss = 0;
+  await clock.run(30_000);
+  assert.equal(state.rows.has("w/j/wk-1"), false, "it was applied");
+  await clock.within(mover.step());
+  assert.deepEqual([rows, aside], [[], []]);
+});
+
 test("returned machines: records of long ago are forgotten, a few at a time, and younger ones kept", async () => {
   const { clock, state, store, mirror } = pieces(20);
   state.transact([], [{ put: keys.leader, value: 1 }]);
