--- a/src/part/announcing.ts
+++ b/src/part/announcing.ts
@@ -1,4 +1,4 @@
-import type { Amounts } from "../fair/share.js";
+import { type Amounts, EPSILON } from "../fair/share.js";
 import { keys } from "../state/keys.js";
 import { kindsOf } from "./balancing.js";
 import type { PartContext } from "./context.js";
@@ -53,10 +53,16 @@
     const needs = new Map<string, Need>();
     let workS = 0;
     const { rules, places } = this.ctx;
-    for (const job of this.ledger.jobs.values()) {
+    // A machine for what its team's limit does not let run would stand idle.
+    const ahead = new Map<string, number>();
+    const jobs = [...this.ledger.jobs.values()].sort((a, b) => b.spec.rank - a.spec.rank);
+    for (const job of jobs) {
       // No machine is rented for those who yield.
       if (!job.open || job.failures > 1 || rules?.yields(job.spec.team) === true) continue;
-      const count = job.waiting;
+      const { team } = job.spec;
+      const left = Math.max(0, ahead.get(team) ?? this.quota.ahead(team));
+      const count = Math.min(job.waiting, Math.ceil(left / Math.max(job.spec.cpus, EPSILON)));
+      ahead.set(team, left - count * job.spec.cpus);
       if (count === 0 || places.idle(job.id, job.spec)) continue;
       const { cpus, gpus, memGb, spot, types, zone, estimateS } = job.spec;
       const need: Need = { cpus, gpus, memGb, spot, types, zone, count };
--- a/src/part/quota.ts
+++ b/src/part/quota.ts
@@ -128,6 +128,17 @@
     return (this.ledger.use.get(team) ?? ZERO).cpus - Math.ceil(most);
   }
 
+  /**
+   * CPUs that a team's tasks here may come to use beyond what they do, as far as its limit goes: the
+   * part's fair slice, or what it has now if that is more.
+   */
+  ahead(team: string): number {
+    const fair = this.#fair.get(team);
+    const use = (this.ledger.use.get(team) ?? ZERO).cpus;
+    const slice = this.#slices.get(team)?.cpus ?? Number.POSITIVE_INFINITY;
+    return Math.max(0, Math.max(slice, fair?.most.cpus ?? 0) - use);
+  }
+
   /** CPUs of a team's slice that its tasks here do not use. */
   left(team: string): number {
     const slice = this.#slices.get(team) ?? ZERO;
