--- a/src/archive/lookups.ts
+++ b/src/archive/lookups.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../clock.js";
 import type { Past } from "../jobs/past.js";
 import type { Log } from "../log.js";
-import { Budget } from "../state/budget.js";
+import { Admission } from "../state/admission.js";
 import { keys } from "../state/keys.js";
 import { type Condition, Refused, type Store } from "../state/store.js";
 import { beforeLeaf, CorruptLeaf, covers, decodeLeaf, findIn, type Leaf, leafKey } from "./leaf.js";
@@ -27,7 +27,7 @@
   readonly #cache: LRUCache<string, Leaf>;
   /** The last ids of those, in order. */
   readonly #lasts: string[] = [];
-  readonly #budget: Budget;
+  readonly #admission: Admission;
   readonly #shared = new Shared<Leaf>();
   readonly #reported = new Set<string>();
   reads = 0;
@@ -40,8 +40,7 @@
   ) {
     // A quarter of what a controller may ask the service for, so that whoever polls for jobs of
     // long ago, or for jobs that never were, leaves the rest to the work.
-    const rate = store.limits.rps / (4 * Math.max(1, controllers));
-    this.#budget = new Budget(rate, Math.max(1, rate), clock);
+    this.#admission = new Admission(store.limits.rps / (4 * Math.max(1, controllers)), clock);
     this.#cache = new LRUCache<string, Leaf>({
       maxSize: CACHED,
       // An entry with its texts takes some 200 bytes of the heap.
@@ -129,7 +128,7 @@
   }
 
   async #read(id: string): Promise<Leaf> {
-    if (!this.#budget.take(1)) throw new Refused("look-ups beyond their budget");
+    if (!this.#admission.pass(id)) throw new Refused("look-ups beyond their budget");
     this.reads++;
     const { rows } = await this.store.page(keys.archive, beforeLeaf(id), 1);
     const row = rows[0];
--- a/src/controller/history.ts
+++ b/src/controller/history.ts
@@ -4,7 +4,7 @@
 import type { Past } from "../jobs/past.js";
 import type { HistoryFigures } from "../metrics.js";
 import { defaultArchive } from "../settings/tuning.js";
-import { Budget } from "../state/budget.js";
+import { Admission } from "../state/admission.js";
 import { HEADERS, keys } from "../state/keys.js";
 import { restoredOf } from "../state/restored.js";
 import { schemaOf } from "../state/schema.js";
@@ -43,7 +43,7 @@
   readonly #kept = new Map<string, number>();
   readonly #setAside = new Set<string>();
   readonly #options: ArchiveOptions;
-  readonly #strangers: Budget;
+  readonly #strangers: Admission;
   /** Since when there has been an archive, as far as this controller has heard. */
   #begunAt = Number.POSITIVE_INFINITY;
   /** Since when the store has had headers of such jobs that are not in memory; null: it has none. */
@@ -51,7 +51,6 @@
   #cursor: string | null = null;
   #foundInWalk = 0;
   #moved = 0;
-  #refused = 0;
   #batch: Row[] = [];
   #loading: Promise<ArchivePackage> | null = null;
   #lookups: Lookups | null = null;
@@ -66,8 +65,7 @@
     readonly wanted: (id: string) => boolean,
   ) {
     this.#options = begins ?? defaultArchive;
-    const rate = core.store.limits.rps / (4 * core.layout.parts);
-    this.#strangers = new Budget(rate, Math.max(1, rate), core.clock);
+    this.#strangers = new Admission(core.store.limits.rps / (4 * core.layout.parts), core.clock);
     core.mirror.on(HEADERS, ({ key, value, deleted }) => {
       const id = key.slice(HEADERS.length);
       if (deleted) {
@@ -90,7 +88,12 @@
 
   figures(): HistoryFigures {
     const over = this.#over.size + this.#kept.size;
-    return { over, moved: this.#moved, reads: this.#lookups?.reads ?? 0, refused: this.#refused };
+    return {
+      over,
+      moved: this.#moved,
+      reads: this.#lookups?.reads ?? 0,
+      refused: this.#strangers.refused,
+    };
   }
 
   /** For people: the schema, how many jobs that are over are in memory, and what was read and moved. */
@@ -165,10 +168,8 @@
    * jobs that never were leaves three quarters of the requests to the work.
    * @throws Refused beyond that
    */
-  admit(): void {
-    if (this.#strangers.take(1)) return;
-    this.#refused++;
-    throw new Refused("too many questions about unknown jobs");
+  admit(id: string): void {
+    if (!this.#strangers.pass(id)) throw new Refused("too many questions about unknown jobs");
   }
 
   /** The final state of an archived job that is remembered. */
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -100,7 +100,7 @@
       if (row !== undefined && isHeader(row.value)) {
         return { header: row.value, version: row.version };
       }
-    } else if (known === undefined) this.history.admit();
+    } else if (known === undefined) this.history.admit(id);
     const row = await store.get(keys.job(id));
     if (row === null) {
       const past = await this.history.find(id);
