birchdale/diagnose: why a job stands still, in plain words; a watch for work within guarantees; rental divided

Need: 'antistoixisi batches stood still and nobody could say why'. Change: owners can be asked (part/inspect.ts, read only), pure functions say why, two commands ask all controllers that are named, a watch logs and counts.

--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -1,7 +1,7 @@
 import { type Clock, sleep } from "../clock.js";
 import type { Caller } from "../http/client.js";
 import type { Log } from "../log.js";
-import { type Need, roomOf, type Summaries, type Summary } from "../part/summary.js";
+import type { Need, Summaries, Summary } from "../part/summary.js";
 import { Budget } from "../state/budget.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
@@ -10,6 +10,7 @@
 import * as wire from "../wire/cloud.js";
 import { Forgetting } from "./forgetting.js";
 import { type Offer, plan } from "./plan.js";
+import { cheapestOf, roomIn, Surplus } from "./surplus.js";
 
 export interface FleetContext {
   token: number;
@@ -43,8 +44,8 @@
 
 const offerKey = ({ type, zone, spot }: Offer): string => `${type.name}/${zone}/${spot}`;
 
-const roomIn = (summaries: readonly Summary[]): number =>
-  summaries.reduce((sum, { kinds }) => sum + roomOf(kinds, () => true).capacity, 0);
+/** PROTOCOL: machines boot in 0.6 to 1.5 times their time, some in several times that. */
+const OVERDUE = 1.5;
 
 /** Rents and returns machines. Only the leader runs one. */
 export class Fleet {
@@ -65,8 +66,7 @@
   #types = new Map<string, wire.MachineType>();
   #requests = 0;
   #returns = 0;
-  #demand = 0;
-  #demandAt: number;
+  readonly #surplus: Surplus;
   #listAt = Number.NEGATIVE_INFINITY;
   #typesAt = Number.NEGATIVE_INFINITY;
   #stopped = false;
@@ -76,7 +76,7 @@
   constructor(readonly ctx: FleetContext) {
     this.#budget = new Budget(ctx.rps * 0.8, ctx.rps, ctx.clock);
     this.#startedAt = ctx.clock.now();
-    this.#demandAt = this.#startedAt;
+    this.#surplus = new Surplus(ctx);
     this.#shortSince = this.#startedAt;
     const { store, mirror, clock, claim } = ctx;
     const keepMs = Math.max(50 * ctx.leaseMs, 10 * ctx.listLagMs);
@@ -91,6 +91,18 @@
     this.#stopped = true;
   }
 
+  /** For people: machines that boot, those of them that take several times as long as they should. */
+  standing(): { booting: number; overdue: number; reachable: boolean } {
+    let booting = 0;
+    let overdue = 0;
+    for (const { id, type, state, ageS } of this.#listed.values()) {
+      if (state !== "booting" || this.#heard.has(id) || this.#returned.has(id)) continue;
+      booting++;
+      if (ageS > OVERDUE * (this.#types.get(type)?.bootS ?? Number.POSITIVE_INFINITY)) overdue++;
+    }
+    return { booting: booting + this.#rented.size, overdue, reachable: this.#reachable };
+  }
+
   async #run(): Promise<void> {
     while (!this.#stopped) {
       try {
@@ -191,7 +203,7 @@
     const now = this.ctx.clock.now();
     const gone = new Set<string>();
     for (const { retired } of summaries) for (const id of retired) gone.add(id);
-    const idle = this.#surplus(summaries);
+    const idle = this.#surplus.idle(summaries, this.#listed, this.#types, this.#returned);
     for (const id of idle.keys()) gone.add(id);
     for (const machine of this.#listed.values()) {
       const type = this.#types.get(machine.type);
@@ -218,66 +230,6 @@
     await this.#until(() => this.ctx.store.transact([], [{ put: key, value: names }]));
   }
 
-  /**
-   * Idle machines beyond what has been in demand lately, the dearest first. "Lately" is half
-   * as long as machines take to boot: for a shorter lull, returning them would cost more.
-   */
-  #surplus(summaries: Summary[]): Map<string, number> {
-    const now = this.ctx.clock.now();
-    const demand = summaries.reduce(
-      (sum, { use, waiting }) =>
-        sum +
-        waiting +
-        Object.entries(use).reduce(
-          (cpus, [team, [used]]) => cpus + (this.ctx.yields(team) ? 0 : used),
-          0,
-        ),
-      0,
-    );
-    const bootMs = Math.max(1, ...[...this.#types.values()].map(({ bootS }) => bootS * 1000));
-    const weight = 1 - Math.exp((-2 * (now - this.#demandAt)) / bootMs);
-    this.#demandAt = now;
-    this.#demand += (demand - this.#demand) * weight;
-    const wanted = Math.max(demand, this.#demand);
-    // Summaries are a little old. Counting what was returned since then, one look after another
-    // returned more until nothing was left.
-    let capacity = roomIn(summaries);
-    for (const { machines } of summaries) {
-      for (const id of machines) capacity -= this.#returned.get(id) ?? 0;
-    }
-    const chosen = new Map<string, number>();
-    // After a restore all machines seem idle for a while; once, all of them went back.
-    if (this.ctx.settling()) return chosen;
-    const idle: { id: string; cpus: number; price: number; headroom: number }[] = [];
-    for (const summary of summaries) {
-      for (const [id, seconds] of Object.entries(summary.idle)) {
-        const machine = this.#listed.get(id);
-        const type = this.#types.get(machine?.type ?? "");
-        if (machine === undefined || type === undefined || seconds * 1000 < this.ctx.leaseMs / 4) {
-          continue;
-        }
-        if (seconds * 1000 > 3 * bootMs && this.ctx.kept() === 0) {
-          // Idle for that long while work waits: what waits may not use it, and it keeps the
-          // cloud from renting us something else.
-          chosen.set(id, type.cpus);
-          continue;
-        }
-        const price = machine.spot ? type.spotPrice : type.price;
-        // What is kept for the next job is kept cheaply: of dear machines a quarter as much.
-        const headroom = 1 + (this.ctx.headroom - 1) * (this.#dear({ price, type }) ? 0.25 : 1);
-        idle.push({ id, cpus: type.cpus, price: price / Math.max(type.cpus, 1), headroom });
-      }
-    }
-    let left = capacity - this.ctx.kept();
-    for (const { id, cpus, headroom } of idle.sort((a, b) => b.price - a.price)) {
-      // The average never quite reaches zero.
-      if (left - wanted * headroom < cpus - 0.5) continue;
-      left -= cpus;
-      chosen.set(id, cpus);
-    }
-    return chosen;
-  }
-
   /** Repeats what must be said; saying it twice does no harm. */
   async #until(run: () => Promise<unknown>): Promise<void> {
     for (;;) {
@@ -307,7 +259,7 @@
 
   async #rent(summaries: Summary[]): Promise<void> {
     if (summaries.length === 0) return;
-    const cheap = this.ctx.dear * this.#cheapest();
+    const cheap = this.ctx.dear * cheapestOf(this.#types);
     const needs = summaries.flatMap(({ need }) =>
       need.map((one): Need => (one.lent === true ? { ...one, most: cheap } : one)),
     );
@@ -324,7 +276,7 @@
     const backlogS = summaries.reduce((sum, { workS }) => sum + workS, 0) / Math.max(1, cpus);
     for (const { offer, count } of wishes) {
       if (!this.ctx.valid()) return;
-      if (this.#dear(offer)) {
+      if (this.ctx.dear * cheapestOf(this.#types) < offer.price / Math.max(1, offer.type.cpus)) {
         // Work may be done by the time it has booted, or cheaper machines become free.
         const lastsS = Math.max(backlogS, (now - this.#shortSince) / 1000);
         if (lastsS < offer.type.bootS) continue;
@@ -345,18 +297,6 @@
     }
   }
 
-  #dear({ price, type }: Pick<Offer, "price" | "type">): boolean {
-    return price / Math.max(1, type.cpus) > this.ctx.dear * this.#cheapest();
-  }
-
-  /** The lowest price of a CPU, whether it can be had now or not. */
-  #cheapest(): number {
-    const prices = [...this.#types.values()].map(
-      ({ price, spotPrice, cpus }) => Math.min(price, spotPrice) / Math.max(1, cpus),
-    );
-    return Math.min(...prices);
-  }
-
   async #rentSome(offer: Offer, count: number): Promise<void> {
     // A name is used for one request only. It carries our token, so no other leader uses it.
     if (this.#open === null) {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -80,6 +80,8 @@
       peers: peersOf(links, clock),
       types: () => this.#types,
       contactAge: () => clock.now() - mirror.contactAt,
+      inspect: (which) => [...this.#owners.parts.values()].map((part) => part.inspect(which)),
+      rental: () => this.#fleet?.standing() ?? null,
     };
     this.#core = core;
     this.#settings = settings;
--- a/src/extension/index.ts
+++ b/src/extension/index.ts
@@ -9,6 +9,7 @@
 import type { Log } from "../log.js";
 import type { Layout } from "../membership/layout.js";
 import type { Standings } from "../membership/standing.js";
+import type { Inspected, PartInspection } from "../part/inspect.js";
 import type { Need, Summaries } from "../part/summary.js";
 import type { Frame } from "../peer/frames.js";
 import type { Settings } from "../settings/settings.js";
@@ -68,6 +69,10 @@
   types(): ReadonlyMap<string, MachineType>;
   /** Milliseconds since this controller is known to have seen every change. */
   contactAge(): number;
+  /** What the owners here know of one job, or of work within guarantees that stands still. For people. */
+  inspect(which: Inspected): PartInspection[];
+  /** How rental stands; null: this controller does not lead. */
+  rental(): { booting: number; overdue: number; reachable: boolean } | null;
 }
 
 /** A team that the platform does not list: without a guarantee, in a group of the tree. */
--- a/src/main.ts
+++ b/src/main.ts
@@ -256,6 +256,23 @@
     await imageCommands(program).parseAsync(words, { from: "user" });
   });
 
+for (const [name, description] of [
+  ["why", "say why a job stands still"],
+  ["diagnose", "say what stands still in the whole cluster"],
+] as const) {
+  program
+    .command(name)
+    .description(`${description}; see ${name} --help`)
+    .argument("[words...]")
+    .helpOption(false)
+    .allowUnknownOption()
+    .action(async (words: string[]) => {
+      const { diagnoseCommands } = await import("./diagnose/index.js");
+      const commands = diagnoseCommands(new Command("birchdale").copyInheritedSettings(program));
+      await commands.parseAsync([name, ...words], { from: "user" });
+    });
+}
+
 for (const [name, description] of [
   ["q", "show clusters of submit files in the queue, or the jobs of some"],
   ["history", "show clusters that are over"],
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -13,6 +13,7 @@
 import { Commits, type Outcome } from "./commits.js";
 import type { PartContext } from "./context.js";
 import { enforce } from "./holding.js";
+import { type Inspected, Inspector, type PartInspection } from "./inspect.js";
 import type { Job } from "./job.js";
 import { Ledger } from "./ledger.js";
 import { beginPass, Placing } from "./placing.js";
@@ -56,6 +57,7 @@
   readonly #commits: Commits;
   readonly #tidying: Tidying;
   readonly #sweep: Sweep;
+  readonly #inspector: Inspector;
   readonly #settling: Settling;
   readonly #aside: Aside;
   readonly #announcing: Announcing;
@@ -87,6 +89,7 @@
     this.#aside = new Aside(ctx);
     this.#announcing = new Announcing(ctx, this.#ledger, this.#quota);
     this.#settling = new Settling(ctx, this.#ledger);
+    this.#inspector = new Inspector(ctx, this.#ledger, this.#quota, () => this.#placing.holds);
     this.#sweep = new Sweep(
       ctx,
       (id, chunk) => {
@@ -128,6 +131,11 @@
     return this.#workers.servedAt;
   }
 
+  /** For people: how one job, or what stands still, is doing here. */
+  inspect(which: Inspected): PartInspection {
+    return this.#inspector.part(which);
+  }
+
   /** Whether most machines that followed us have fallen silent together. */
   cutOff(): boolean {
     return this.#workers.cutOff();
--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -64,6 +64,8 @@
   /** Shapes of tasks that found no machine in this pass: room only shrinks while it lasts. */
   readonly #hopeless = new Set<string>();
   readonly #lending: Lending;
+  /** By team, below which priority jobs that save started nothing in the last pass. */
+  holds: ReadonlyMap<string, number> = new Map();
   #last: { job: Job; machine: Machine } | null = null;
 
   constructor(
@@ -105,6 +107,7 @@
     };
     for (const queue of queues.values()) order(queue);
     const holds = holdsOf(queues, timely, this.quota);
+    this.holds = holds;
     const blocked: Job[] = [];
     while (queues.size > 0) {
       // The lowest share starts first.
--- a/src/settings/operators.ts
+++ b/src/settings/operators.ts
@@ -14,6 +14,7 @@
   market: () => import("../market/index.js"),
   submit: () => import("../submit/index.js"),
   suspicion: () => import("../suspicion/index.js"),
+  diagnose: () => import("../diagnose/index.js"),
 };
 
 /** All that the operators' own files say. */
--- a/test/archive-model.test.ts
+++ b/test/archive-model.test.ts
@@ -116,6 +116,8 @@
       ...ALONE,
       types: () => types,
       contactAge: () => 0,
+      inspect: () => [],
+      rental: () => null,
     };
     const history = new History(
       core,
--- a/test/market-world.test.ts
+++ b/test/market-world.test.ts
@@ -404,6 +404,8 @@
     ...ALONE,
     types: () => new Map(),
     contactAge: () => 0,
+    inspect: () => [],
+    rental: () => null,
   };
   state.transact([], [{ put: "w/lead", value: { node: "n0", run: "r" } }]);
   const token = state.revision;
