--- a/src/part/workers.ts
+++ b/src/part/workers.ts
@@ -236,7 +236,7 @@
       if (listed.has(live.task) || live.chunk.saved < live.version || live.stop !== null) continue;
       const job = this.ledger.jobs.get(live.chunk.job);
       if (job === undefined || !job.open || machine.noticeS !== null) continue;
-      if (!this.ctx.valid() || machine.deafSince !== null) continue;
+      if (!this.ctx.valid()) continue;
       live.told = { session: machine.session, seq: machine.seq };
       commands.push(wire.startTask(live.task, live.attempt));
       this.ctx.log.debug({ task: live.task, machine: machine.id }, "start");
--- a/test/guests.test.ts
+++ b/test/guests.test.ts
@@ -198,6 +198,33 @@
   assert.equal(bench.where(huge).length, 33);
 });
 
+test("lent room: the first task of a job passed over for long comes before those who borrow less", async () => {
+  const type = { cpus: 4, gpus: 0, memGb: 64, price: 1, spotPrice: 1, bootS: 10, zones: ["a"] };
+  const bench = new PlacingBench(new Map([["m4", { name: "m4", ...type }]]), null, [
+    "red",
+    "blue",
+    "guests",
+  ]);
+  bench.ctx.lentTo = (team) => team === "guests";
+  for (let i = 0; i < 20; i++) bench.machine(`m${i}`, "m4", "a", true);
+  // Above what the tree has for each, 2, red borrows 2 and the guests 4; one CPU is left.
+  for (const [team, tasks] of [
+    ["guests", 6],
+    ["red", 4],
+    ["blue", 69],
+  ] as const) {
+    bench.job({ team, tasks });
+    bench.pass();
+  }
+  const passedOver = bench.job({ team: "guests" });
+  const next = bench.job({ team: "red", tasks: 2 });
+  for (const chunk of bench.ledger.jobs.get(next)!.chunks.values()) chunk.attempts = 1;
+  await bench.clock.run(12_001);
+  for (const machine of bench.ledger.machines.values()) machine.lastSeen = bench.clock.now();
+  bench.pass();
+  assert.deepEqual([bench.where(passedOver).length, bench.where(next).length], [1, 0]);
+});
+
 test("lent room: what is needed for it is said to be, also between controllers", () => {
   const summary: Summary = {
     use: {},
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -251,7 +251,6 @@
   await bench.clock.run(1000);
   assert.deepEqual(bench.placed()?.[1], "a");
   await bench.clock.run(7000);
-  // Nothing is told to it in the answer that it will not hear.
   assert.deepEqual(await bench.report("a", { seq: 9 }), []);
   await bench.report("b", { token: 1 });
   await bench.report("b", { seq: 2 });
@@ -259,6 +258,27 @@
   assert.deepEqual(bench.placed()?.[1], "b");
 });
 
+test("a machine that does not hear us is no witness against us, and is returned in the end", async () => {
+  const bench = new Bench();
+  await bench.takeOver();
+  for (const machine of ["a", "b", "c"]) {
+    await bench.report(machine, { token: 1 });
+    await bench.report(machine, { seq: 2 });
+  }
+  const retired = (): unknown =>
+    (bench.state.rows.get("w/s/0")?.value as { retired: string[] } | undefined)?.retired;
+  const seen: unknown[] = [];
+  for (const seq of [5, 8, 11, 14]) {
+    await bench.clock.run(3000);
+    for (const machine of ["a", "b", "c"]) await bench.report(machine, { seq });
+    // Silent together for longer than a third of a lease, as if this controller were cut off.
+    await bench.clock.run(4500);
+    if (seq > 5) assert.equal(bench.part.cutOff(), false);
+    seen.push(retired());
+  }
+  assert.deepEqual(seen.slice(1), [[], [], ["a", "b", "c"]]);
+});
+
 test("sweep: a job that its part never heard of is found, counted and placed; others are not", async () => {
   const bench = new Bench();
   await bench.takeOver();
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -57,6 +57,38 @@
   });
 }
 
+// What checks the days has to find what it is there for.
+const planted: { name: string; found: RegExp; plant(world: World): void }[] = [
+  {
+    name: "no question about a job is answered for 75 s",
+    found: /^forgotten .*no question answered/,
+    plant: (world) => world.state.setOutage(true),
+  },
+  {
+    name: "less than half of a class begins",
+    found: /^class test served 0.00/,
+    plant: (world) => {
+      for (const worker of world.workers.values()) worker.hung = true;
+      world.cloud.outage = true;
+    },
+  },
+];
+for (const { name, found, plant } of planted) {
+  test(`rules: the checker finds that ${name}`, async () => {
+    const world = new World(5, 3, TEAMS, 6);
+    await world.clock.run(20_000);
+    world.submit("wk-100000", { team: "red", tasks: 4, runMs: 60_000 });
+    await world.clock.run(20_000);
+    plant(world);
+    await world.clock.run(90_000);
+    world.stop();
+    assert.ok(
+      wrongs(world).some((wrong) => found.test(wrong)),
+      wrongs(world).join("\n"),
+    );
+  });
+}
+
 test("rules: five controllers, and the loss of four of them, twice", async () => {
   const world = new World(11, 5, TEAMS, 8);
   await world.clock.run(20_000);
