--- a/src/main.ts
+++ b/src/main.ts
@@ -256,42 +256,40 @@
     await imageCommands(program).parseAsync(words, { from: "user" });
   });
 
-for (const [name, description] of [
-  ["why", "say why a job stands still"],
-  ["diagnose", "say what stands still in the whole cluster"],
-] as const) {
-  program
-    .command(name)
-    .description(`${description}; see ${name} --help`)
-    .argument("[words...]")
-    .helpOption(false)
-    .allowUnknownOption()
-    .action(async (words: string[]) => {
-      const { diagnoseCommands } = await import("./diagnose/index.js");
-      const commands = diagnoseCommands(new Command("birchdale").copyInheritedSettings(program));
-      await commands.parseAsync([name, ...words], { from: "user" });
-    });
-}
-
-for (const [name, description] of [
-  ["q", "show clusters of submit files in the queue, or the jobs of some"],
-  ["history", "show clusters that are over"],
-  ["rm", "remove clusters, or jobs of them"],
-  ["hold", "hold clusters, or jobs of them"],
-  ["release", "release held clusters, or jobs of them"],
-  ["analyze", "show why a job does, or does not, match machines"],
-] as const) {
-  program
-    .command(name)
-    .description(`${description}; see ${name} --help`)
-    .argument("[words...]")
-    .helpOption(false)
-    .allowUnknownOption()
-    .action(async (words: string[]) => {
-      const { submitCommands } = await import("./submit/index.js");
-      const commands = submitCommands(new Command("birchdale").copyInheritedSettings(program));
-      await commands.parseAsync([name, ...words], { from: "user" });
-    });
+/** Commands of optional packages, which are loaded by the first use of one. */
+const packaged: [load: (program: Command) => Promise<Command>, commands: [string, string][]][] = [
+  [
+    async (own) => (await import("./diagnose/index.js")).diagnoseCommands(own),
+    [
+      ["why", "say why a job stands still"],
+      ["diagnose", "say what stands still in the whole cluster"],
+    ],
+  ],
+  [
+    async (own) => (await import("./submit/index.js")).submitCommands(own),
+    [
+      ["q", "show clusters of submit files in the queue, or the jobs of some"],
+      ["history", "show clusters that are over"],
+      ["rm", "remove clusters, or jobs of them"],
+      ["hold", "hold clusters, or jobs of them"],
+      ["release", "release held clusters, or jobs of them"],
+      ["analyze", "show why a job does, or does not, match machines"],
+    ],
+  ],
+];
+for (const [load, commands] of packaged) {
+  for (const [name, description] of commands) {
+    program
+      .command(name)
+      .description(`${description}; see ${name} --help`)
+      .argument("[words...]")
+      .helpOption(false)
+      .allowUnknownOption()
+      .action(async (words: string[]) => {
+        const own = await load(new Command("birchdale").copyInheritedSettings(program));
+        await own.parseAsync([name, ...words], { from: "user" });
+      });
+  }
 }
 
 program
--- a/test/guests.test.ts
+++ b/test/guests.test.ts
@@ -140,14 +140,17 @@
   assert.deepEqual([bench.where(large).length, bench.where(fits).length], [0, 36]);
 });
 
-test("lent room: a tenth of a part is not lent, and is there for the others", async () => {
+/** Machines of 4 CPUs, and guests to whom all is lent. */
+function lending(machines: number, teams: string[]): PlacingBench {
   const type = { cpus: 4, gpus: 0, memGb: 64, price: 1, spotPrice: 1, bootS: 10, zones: ["a"] };
-  const bench = new PlacingBench(new Map([["m4", { name: "m4", ...type }]]), null, [
-    "red",
-    "guests",
-  ]);
+  const bench = new PlacingBench(new Map([["m4", { name: "m4", ...type }]]), null, teams);
   bench.ctx.lentTo = (team) => team === "guests";
-  for (let i = 0; i < 10; i++) bench.machine(`m${i}`, "m4", "a", true);
+  for (let i = 0; i < machines; i++) bench.machine(`m${i}`, "m4", "a", true);
+  return bench;
+}
+
+test("lent room: a tenth of a part is not lent, and is there for the others", async () => {
+  const bench = lending(10, ["red", "guests"]);
   const scan = bench.job({ team: "guests", tasks: 1000 });
   bench.pass();
   assert.equal(bench.where(scan).length, 36);
@@ -172,13 +175,7 @@
 });
 
 test("lent room: one huge job does not keep small ones of its team from beginning", async () => {
-  const type = { cpus: 4, gpus: 0, memGb: 64, price: 1, spotPrice: 1, bootS: 10, zones: ["a"] };
-  const bench = new PlacingBench(new Map([["m4", { name: "m4", ...type }]]), null, [
-    "red",
-    "guests",
-  ]);
-  bench.ctx.lentTo = (team) => team === "guests";
-  for (let i = 0; i < 10; i++) bench.machine(`m${i}`, "m4", "a", true);
+  const bench = lending(10, ["red", "guests"]);
   const huge = bench.job({ team: "guests", tasks: 1000 });
   bench.pass();
   const small = [0, 1, 2].map(() => bench.job({ team: "guests" }));
@@ -199,14 +196,7 @@
 });
 
 test("lent room: the first task of a job passed over for long comes before those who borrow less", async () => {
-  const type = { cpus: 4, gpus: 0, memGb: 64, price: 1, spotPrice: 1, bootS: 10, zones: ["a"] };
-  const bench = new PlacingBench(new Map([["m4", { name: "m4", ...type }]]), null, [
-    "red",
-    "blue",
-    "guests",
-  ]);
-  bench.ctx.lentTo = (team) => team === "guests";
-  for (let i = 0; i < 20; i++) bench.machine(`m${i}`, "m4", "a", true);
+  const bench = lending(20, ["red", "blue", "guests"]);
   // Above what the tree has for each, 2, red borrows 2 and the guests 4; one CPU is left.
   for (const [team, tasks] of [
     ["guests", 6],
