--- a/src/diagnose/command.ts
+++ b/src/diagnose/command.ts
@@ -72,7 +72,10 @@
     }
   };
   const nobody = (command: Command, unanswered: readonly string[]): never =>
-    command.error(`error: nobody answered: ${unanswered.join(", ")}`, { exitCode: NOBODY });
+    command.error(`error: nobody answered: ${unanswered.join(", ")}`, {
+      exitCode: NOBODY,
+      code: "diagnose.nobody",
+    });
   const why = node(program.command("why"))
     .description("say why a job stands still, in plain words")
     .argument("<job>")
--- a/src/diagnose/obstacles.ts
+++ b/src/diagnose/obstacles.ts
@@ -173,10 +173,13 @@
     .sort((a, b) => b.one.token - a.one.token);
   const [first] = candidates;
   if (first === undefined) {
-    if (unanswered.length > 0 && !views.some(({ node }) => node === owner)) {
-      return [about("owner silent", `${owner} owns it and did not answer`)];
+    // Only the owner itself can say that it has not read its records yet.
+    if (views.some(({ node }) => node === owner)) {
+      return [about("restoring", `${owner} has claimed it and is reading its records`)];
     }
-    return [about("restoring", `${owner} has claimed it and is reading its records`)];
+    return unanswered.length > 0
+      ? [about("owner silent", `${owner} owns it and has not answered, unless it was not asked`)]
+      : [about("not known", `${owner} owns it and was not asked`)];
   }
   const { view, one } = first;
   if (!view.valid) {
--- a/src/main.ts
+++ b/src/main.ts
@@ -322,7 +322,7 @@
 } catch (error) {
   if (error instanceof CommanderError) {
     // What a command says about itself; anything else is a wrong use of the command line.
-    const own = error.code.startsWith("state.");
+    const own = /^(state|diagnose)\./.test(error.code);
     process.exitCode = error.exitCode === 0 ? 0 : own ? error.exitCode : USAGE;
   } else {
     const known =
--- a/test/diagnose.test.ts
+++ b/test/diagnose.test.ts
@@ -99,6 +99,23 @@
   });
 }
 
+test("why: what only the owner knows is not known while it was not asked", () => {
+  const view: View = {
+    node: "n1",
+    contactS: 0.1,
+    valid: true,
+    ready: true,
+    leads: false,
+    owners: ["n0", "n1"],
+    job: { status: "open", parts: [0, 1], tasks: 9 },
+    parts: [],
+    rental: null,
+  };
+  const kinds = (unanswered: string[]) => explain(ID, [view], unanswered).map(({ kind }) => kind);
+  assert.deepEqual(kinds([]), ["not known", "restoring"]);
+  assert.deepEqual(kinds(["a:1"]), ["owner silent", "restoring"]);
+});
+
 test("why: nobody who was asked knows what the state service says now", () => {
   const [found] = explain(ID, [], ["a:1"]);
   assert.equal(found?.kind, "not known");
