--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -7,7 +7,7 @@
 import { NoLease, type Store } from "../state/store.js";
 import { type Claim, Handover, isClaim } from "./handover.js";
 import type { Layout } from "./layout.js";
-import { type Presence, presenceRecord } from "./presence.js";
+import { type Presence, parsePresence, presenceRecord } from "./presence.js";
 import { Standings } from "./standing.js";
 import { type Candidate, succession, type Vacancy } from "./succession.js";
 
@@ -229,13 +229,33 @@
   async #show(): Promise<void> {
     const shy = this.#shy();
     if (this.#lease === null || !this.mirror.ready) return;
-    if (this.#present && shy === this.#shownShy) return;
+    if (this.#present && shy === this.#shownShy && this.#shown()) return;
+    const key = keys.node(this.node);
     const value = presenceRecord(this.#own()!);
-    await this.store.transact([], [{ put: keys.node(this.node), value, lease: this.#lease }]);
+    const { ok, revision } = await this.store.transact(
+      [],
+      [{ put: key, value, lease: this.#lease }],
+    );
+    if (ok) this.mirror.apply({ key, value, version: revision, deleted: false });
     this.#present = true;
     this.#shownShy = shy;
   }
 
+  /**
+   * Whether what the others see of us is what we said last. An earlier word without an answer may be
+   * applied after a later one: of this run, or of the one before, and that one goes with its lease.
+   * Then nobody gave us a part any more.
+   */
+  #shown(): boolean {
+    const seen = parsePresence(this.mirror.rows.get(keys.node(this.node))?.value);
+    return (
+      seen !== null &&
+      seen.run === this.run &&
+      seen.lease === this.#lease &&
+      seen.shy === this.#shownShy
+    );
+  }
+
   #shy(): boolean {
     return this.#drained || this.clock.now() < this.#shyUntil;
   }
--- a/src/state/mirror.ts
+++ b/src/state/mirror.ts
@@ -226,6 +226,13 @@
    * missed all the same, and reading has to begin anew.
    */
   async #read(): Promise<boolean> {
+    // What was read before an interruption is as old as that. Without this, whoever had read half
+    // of the keys before an outage was taken to be in touch once it had the others, and answered
+    // workers on although it had not heard of cancellations from before the outage.
+    if (this.#listing !== null && !(await this.#follow(0))) {
+      this.#listing = null;
+      return false;
+    }
     for (;;) {
       const listing = this.#listing;
       const page = await this.store.page(WATCHED, listing?.after ?? null, PAGE);
--- /dev/null
+++ b/test/contact.test.ts
@@ -0,0 +1,59 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Layout } from "../src/membership/layout.js";
+import { Membership } from "../src/membership/membership.js";
+import { Mirror } from "../src/state/mirror.js";
+import { quiet } from "./support/common.js";
+import { service } from "./support/store.js";
+
+test("contact: keys that were read before an interruption prove nothing about its time", async () => {
+  const { clock, state, store } = service();
+  // More than one page, so that reading can stop in the middle.
+  for (let n = 0; n < 1500; n++) {
+    state.transact([], [{ put: `w/x/${String(n).padStart(5, "0")}`, value: n }]);
+  }
+  const mirror = new Mirror(store, clock, quiet, 1000);
+  const page = store.page.bind(store);
+  let pages = 0;
+  let changedAt = Number.POSITIVE_INFINITY;
+  store.page = (...asked) => {
+    if (++pages === 2) {
+      // Somebody cancels a job that was read already; then nobody is answered.
+      state.transact([], [{ put: "w/x/00001", value: "cancelled" }]);
+      changedAt = clock.now();
+      state.setOutage(true);
+      clock.after(40_000, () => state.setOutage(false));
+    }
+    return page(...asked);
+  };
+  void mirror.run();
+  for (let ms = 0; ms < 50_000; ms += 5) {
+    await clock.run(5);
+    const knows = mirror.rows.get("w/x/00001")?.value === "cancelled";
+    assert.ok(knows || mirror.contactAt <= changedAt, `in touch at ${clock.now()}, without it`);
+  }
+  assert.ok(mirror.ready && mirror.contactAt > changedAt);
+  mirror.stop();
+});
+
+for (const late of ["of an earlier run", "of this run"] as const) {
+  test(`contact: what a controller says of itself holds, whatever word ${late} comes late`, async () => {
+    const { clock, state, store } = service();
+    const mirror = new Mirror(store, clock, quiet, 1000);
+    const layout = new Layout(["n0", "n1"].map((name) => ({ name, zone: "a" })));
+    const handlers = { gained() {}, lost() {}, leading() {}, deposed() {} };
+    const member = new Membership("n0", "r1", layout, store, mirror, clock, quiet, handlers, 12);
+    void mirror.run();
+    member.start();
+    await clock.run(10_000);
+    const shown = (): object => state.rows.get("w/n/n0")?.value as object;
+    const before = shown();
+    const value = late === "of this run" ? { ...before, shy: true } : { run: "r0", shy: false };
+    const lease = state.openLease(1000);
+    state.transact([], [{ put: "w/n/n0", value, lease }]);
+    await clock.run(10_000);
+    assert.deepEqual(shown(), before);
+    member.stop();
+    mirror.stop();
+  });
+}
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -35,6 +35,8 @@
   refused = false;
   /** The share of transactions whose answer is lost, half of them applied late. */
   loss = 0;
+  /** A planted fault: see `Sabotage`. */
+  emptyWatches = false;
 
   constructor(
     readonly state: FakeState,
@@ -131,6 +133,10 @@
     after: number,
     waitMs: number,
   ): Promise<{ revision: number; events: Event[] } | null> {
+    if (this.emptyWatches && (this.cut || this.refused || this.state.outage)) {
+      await sleep(this.clock, 500);
+      return { revision: after, events: [] };
+    }
     const seen = await this.#exchange(() => this.state.changes(prefix, after));
     if (seen === null) return null;
     if (seen.length === 0) await this.state.changed(prefix, waitMs);
--- a/test/support/users.ts
+++ b/test/support/users.ts
@@ -11,6 +11,8 @@
   cpus: number;
   spot: boolean;
   runMs: number;
+  /** How much longer each task runs than the one before it. */
+  apartMs: number;
   /** Every task fails, always. */
   fails: boolean;
   done: Set<string>;
@@ -54,6 +56,7 @@
       cpus: Number(body.cores),
       spot: body.borrowed === true,
       runMs: job.runMs ?? Number(body.expectS) * 1000,
+      apartMs: job.apartMs ?? 0,
       fails: job.fails ?? false,
       done: new Set(),
       accepted: false,
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -66,7 +66,8 @@
         const job = this.world.jobOf(task.piece);
         if (task.state === "pulling") {
           task.state = "running";
-          task.until = now + (job.done.has(task.piece) ? 0 : job.runMs);
+          const nth = Number(task.piece.slice(task.piece.lastIndexOf("/") + 1));
+          task.until = now + (job.done.has(task.piece) ? 0 : job.runMs + nth * job.apartMs);
         } else {
           task.state = "ended";
           task.cause = job.fails ? "error" : "done";
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -84,6 +84,10 @@
   ignoreConditions?: boolean;
   /** Reports that were held back look new when they arrive. */
   freshenReports?: boolean;
+  /** Watches that wait through an outage or a refusal end empty, as if nothing had changed. */
+  emptyWatches?: boolean;
+  /** Workers carry out what an answer says however late it comes. */
+  lateAnswers?: boolean;
 }
 
 /** Several controllers, their state service, cloud, workers and users, on a fake clock. */
@@ -109,6 +113,10 @@
   /** The share of frames between controllers that is lost; the others take about so long, if set. */
   frameLoss = 0;
   frameMs = 0;
+  /** The share of answers to reports that arrive when their worker has given them up. */
+  answersHeld = 0;
+  /** How much later direct commands arrive, at most. */
+  orderMs = 0;
   /** Frames sent between controllers. */
   frames = 0;
   /** Sessions of workers that ended since nobody answered. */
@@ -171,7 +179,10 @@
   // ---- controllers -----------------------------------------------------------------------
 
   #storeOf(n: number): FakeStore {
-    return new FakeStore(this.state, this.clocks[n]!, this.random, this.#limits, 2000, this.clock);
+    const { state, clock, clocks, random } = this;
+    const store = new FakeStore(state, clocks[n]!, random, this.#limits, 2000, clock);
+    store.emptyWatches = this.sabotage.emptyWatches === true;
+    return store;
   }
 
   zoneOf(n: number): string {
@@ -208,8 +219,10 @@
       store: this.stores[n]!,
       cloud: { call: (method, path, body) => this.cloud.call(method, path, body) },
       order: (address, body) => {
-        this.clock.after(this.random.int(1, 5), () => {
-          if (!alive() || this.deaf.has(n)) return;
+        const held = this.orderMs > 0 ? this.random.int(0, this.orderMs) : 0;
+        this.clock.after(this.random.int(1, 5) + held, () => {
+          // What is on its way arrives also when its sender has ended.
+          if (held === 0 && (!alive() || this.deaf.has(n))) return;
           const worker = this.workers.get(address.slice(2));
           if (worker !== undefined && this.#cutOff(n, worker.zone)) return;
           this.#order(address.slice(2), encode(body));
@@ -330,25 +343,31 @@
   async fromWorker(worker: Worker, n: number, report: object): Promise<Answer | null> {
     const cut = (): boolean =>
       worker.cut || worker.gone || this.deaf.has(n) || this.#cutOff(worker.zone, n);
+    const late = (): void => {
+      const fresh = { shift: worker.session, tally: ++worker.seq, baton: worker.token };
+      const sent = this.sabotage.freshenReports === true ? { ...report, ...fresh } : report;
+      void this.ask(n, "POST", "/checkin", sent);
+    };
     if (cut()) {
       // Held back, and delivered late, when nobody waits for the answer any more.
       this.clock.after(this.random.int(5000, 30_000), () => {
-        if (cut()) return;
-        const fresh = { shift: worker.session, tally: ++worker.seq, baton: worker.token };
-        void this.ask(
-          n,
-          "POST",
-          "/checkin",
-          this.sabotage.freshenReports ? { ...report, ...fresh } : report,
-        );
+        if (!cut()) late();
       });
       await this.sleep(4000);
       return null;
     }
     if (this.copies > 0 && this.random.chance(this.copies)) {
       // A copy of it comes as well, whatever has become of the machine and of its part meanwhile.
-      const lateMs = this.random.int(2000, 3 * this.leaseMs);
-      this.clock.after(lateMs, () => void this.ask(n, "POST", "/checkin", report));
+      this.clock.after(this.random.int(2000, 3 * this.leaseMs), late);
+    }
+    if (this.answersHeld > 0 && this.random.chance(this.answersHeld)) {
+      const held = await this.ask(n, "POST", "/checkin", report);
+      this.clock.after(this.random.int(5000, 2 * this.leaseMs), () => {
+        const orders = (held?.body as { orders?: Command[] } | undefined)?.orders;
+        if (this.sabotage.lateAnswers === true && orders !== undefined) worker.execute(orders);
+      });
+      await this.sleep(4000);
+      return null;
     }
     const answer = await Promise.race([
       this.ask(n, "POST", "/checkin", report),
