--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -5,11 +5,13 @@
 import { targetsOf } from "../jobs/due.js";
 import { Layout } from "../membership/layout.js";
 import { Membership } from "../membership/membership.js";
+import { allRead } from "../membership/presence.js";
 import { Metrics } from "../metrics.js";
 import type { PartContext } from "../part/part.js";
 import { settleMsOf } from "../part/settling.js";
 import { isSummary, Summaries, type Summary } from "../part/summary.js";
 import type { Frame } from "../peer/frames.js";
+import { Pipelines } from "../pipeline/index.js";
 import { limitsOf, teamFaults } from "../quota/limits.js";
 import { clusterOf, type Settings } from "../settings/settings.js";
 import { defaultTuning, type Tuning } from "../settings/tuning.js";
@@ -53,6 +55,7 @@
   readonly #fatal: (why: string) => void;
   readonly #rules: PlacingRules | null;
   readonly #places: Places;
+  readonly #pipelines: Pipelines;
   #types = new Map<string, MachineType>();
   #fleet: Fleet | null = null;
   #led: { stop(): void }[] = [];
@@ -96,8 +99,13 @@
     this.#limits = limitsOf(params.teams);
     this.#attached = (extensions ?? []).map((extension) => extension.attach(core));
     this.#rules = this.#attached.find(({ rules }) => rules !== undefined)?.rules ?? null;
+    // Before all others that follow the headers: they ask it about what they have just heard.
+    this.#pipelines = new Pipelines(mirror, links.store, clock, log, reportMs, (id) =>
+      this.#users.ended(id),
+    );
     this.#places = new Places(
       this.#attached.find(({ matching }) => matching !== undefined)?.matching ?? null,
+      (id) => this.#pipelines.waits(id),
     );
     const most = new Map(this.#limits);
     for (const { teams } of extensions ?? [])
@@ -109,6 +117,7 @@
       clock,
       reportMs / 4,
       (id, spec) => this.#places.idle(id, spec),
+      this.#pipelines,
     );
     this.#owners = new Owners(
       core,
@@ -140,6 +149,7 @@
       this.#history,
       this.#refusals,
       (team) => this.#guaranteed(team),
+      this.#pipelines,
     );
     for (const fault of teamFaults(params.teams)) log.warn(fault, "a team cannot use what it has");
     this.router = routerOf({
@@ -224,6 +234,7 @@
   stop(): void {
     this.#reach.stop();
     this.#core.mirror.stop();
+    this.#pipelines.stop();
     this.#membership.stop();
     this.#depose();
     for (const attached of this.#attached) attached.stop?.();
@@ -289,6 +300,8 @@
       summaries,
       metrics: this.#metrics,
       targets: this.#standing.targets,
+      pipelines: this.#pipelines,
+      together: () => mirror.ready && allRead(mirror),
       gone: this.#gone.machines,
       guaranteed: () => this.#standing.guaranteed(),
       timely: () => this.#standing.timely(),
@@ -340,6 +353,7 @@
     for (const { lead } of this.#attached)
       if (lead !== undefined) this.#led.push(lead({ token, claim, valid }));
     this.#led.push(this.#history.lead({ token, claim, valid }));
+    this.#led.push(this.#pipelines.lead({ valid }));
   }
 
   #guaranteed(team: string): boolean {
--- a/src/controller/standing.ts
+++ b/src/controller/standing.ts
@@ -4,17 +4,22 @@
 import { dueOf, type Targets } from "../jobs/due.js";
 import { chunksLeft, type Header, isHeader } from "../jobs/header.js";
 import type { Summaries } from "../part/summary.js";
+import type { Pipelines } from "../pipeline/index.js";
 import { HEADERS } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
 import type { JobSpec } from "../wire/jobs.js";
 
+/** Whether something can start of it may change without a change of its header. */
+const isPicky = (header: Header | undefined): boolean =>
+  header?.spec?.match !== undefined || header?.spec?.after !== undefined;
+
 /** How all open jobs stand, in whatever part they are: within a guarantee, and in time. */
 export class Standing {
   readonly open = new Map<string, Header>();
   /** Those of them that are within their team's guarantee; null when it has to be found anew. */
   #inside: Set<string> | null = null;
   #insideAt = Number.NEGATIVE_INFINITY;
-  /** Open jobs with expressions. */
+  /** Open jobs with expressions, or that await others. */
   #picky = 0;
   #inTime = new Set<string>();
   #inTimeAt = Number.NEGATIVE_INFINITY;
@@ -28,6 +33,8 @@
     readonly keepMs: number,
     /** Jobs of which nothing can start have no claim to anything. */
     readonly idle: (id: string, spec: JobSpec) => boolean = () => false,
+    /** What pipelines say of a job's priority and of when it is due. */
+    readonly pipelines: Pick<Pipelines, "rank" | "due" | "since"> | null = null,
   ) {}
 
   /** Follows the headers; tells of each that changes, once it is known here. */
@@ -38,22 +45,28 @@
       if (deleted) {
         // Over and archived while this controller did not hear of either.
         if (this.open.delete(id)) this.#inside = null;
-        if (known?.spec?.match !== undefined) this.#picky--;
+        if (isPicky(known)) this.#picky--;
         return;
       }
       if (!isHeader(value)) return;
       if (value.status !== "open") {
         if (this.open.delete(id)) this.#inside = null;
-        if (known?.spec?.match !== undefined) this.#picky--;
+        if (isPicky(known)) this.#picky--;
       } else {
         if (known === undefined) this.#inside = null;
-        if (known === undefined && value.spec?.match !== undefined) this.#picky++;
+        if (known === undefined && isPicky(value)) this.#picky++;
         this.open.set(id, value);
       }
       tell(id, value);
     });
   }
 
+  #dueOf(id: string, spec: JobSpec, at: number): number {
+    const { pipelines, targets } = this;
+    if (pipelines === null) return dueOf(spec, at, targets);
+    return pipelines.due(id, dueOf(spec, at, targets, pipelines.since(id, at)));
+  }
+
   jobsOf(team: string): number {
     let count = 0;
     for (const { spec } of this.open.values()) if (spec?.team === team) count++;
@@ -94,8 +107,8 @@
       const left = Math.min(spec.tasks, chunksLeft(owners) * chunkSize);
       const due: Due = {
         id,
-        rank: spec.rank,
-        leftS: (dueOf(spec, at, this.targets) - wall) / 1000,
+        rank: this.pipelines?.rank(id, spec.rank) ?? spec.rank,
+        leftS: (this.#dueOf(id, spec, at) - wall) / 1000,
         taskS: spec.estimateS,
         work: left * spec.cpus * spec.estimateS,
       };
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -14,6 +14,7 @@
 import type { Past } from "../jobs/past.js";
 import type { Part } from "../part/part.js";
 import { roomOf } from "../part/summary.js";
+import { type Ended, type Pipelines, storedSpec } from "../pipeline/index.js";
 import { Budget } from "../state/budget.js";
 import { keys } from "../state/keys.js";
 import { restoredOf } from "../state/restored.js";
@@ -39,9 +40,6 @@
 
 const RESTORING = "restored records are being completed";
 
-const stateOf = (found: Found): JobStatus =>
-  "past" in found ? found.past.status : shownStatus(found.header);
-
 /** Answers users: takes, shows and cancels jobs, whoever owns the parts that run them. */
 export class Users {
   /** Changes that submissions of teams without a guarantee may take. */
@@ -60,6 +58,7 @@
     readonly refusals: Refusals,
     /** Whether a team has a guarantee. */
     readonly guaranteed: (team: string) => boolean,
+    readonly pipelines: Pipelines,
   ) {
     const { store, clock, layout } = core;
     const share = store.limits.writeRps / layout.parts;
@@ -74,6 +73,29 @@
     return row !== undefined && isHeader(row.value) ? row.value : null;
   }
 
+  /**
+   * What its user is told. A job that one before it has cancelled is cancelled at once, whatever its
+   * header says yet; and as nothing before it can become anything else, that stays so.
+   * @throws Refused while it is not known what became of a job before it
+   */
+  #stateOf(id: string, found: Found): JobStatus {
+    if ("past" in found) return found.past.status;
+    const { status, spec } = found.header;
+    if (status !== "open" || spec?.after === undefined) return shownStatus(found.header);
+    const fate = this.pipelines.fate(id);
+    if (fate === "unknown") throw new Refused("a job before it has not been looked up");
+    if (fate === "cancelled") return "cancelled";
+    return fate === "waits" ? "pending" : shownStatus(found.header);
+  }
+
+  /** What became of a job that is awaited. @throws while that cannot be said */
+  async ended(id: string): Promise<Ended> {
+    const row = await this.core.store.get(keys.job(id));
+    if (row === null) return this.history.find(id);
+    if (!isHeader(row.value)) throw new Error(`job ${id}: not a header`);
+    return { status: row.value.status, over: row.value.over ?? null };
+  }
+
   /** Whether the records were restored and do not tell of everything yet. */
   #closed(): boolean {
     const { state } = restoredOf(this.core.mirror);
@@ -107,6 +129,13 @@
       return past === null ? null : { past };
     }
     if (!isHeader(row.value)) throw new Error(`job ${id}: not a header`);
+    if (row.value.status === "open" && row.value.spec?.after !== undefined) {
+      // What it waits for is known from the watched copy alone.
+      await mirror.current();
+      const seen = mirror.rows.get(keys.job(id));
+      if (seen === undefined || !isHeader(seen.value)) throw new Refused("not heard of yet");
+      return { header: seen.value, version: seen.version };
+    }
     return { header: row.value, version: row.version };
   }
 
@@ -135,18 +164,39 @@
         } else {
           const notNow = this.#notNow(spec);
           if (notNow !== null && (await this.#current(id)) === null) return retryLater(503, notNow);
+          const refused = spec.after === undefined ? null : await this.#before(id, spec.after.jobs);
+          if (refused !== null) return refused;
           const taken = await this.#take(id, this.#newHeader(spec));
           if (taken !== null) return taken;
         }
       }
       const known = await this.#current(id);
       if (known === null) return retryLater(503, "try again");
-      return { status: 200, body: statusBody(id, stateOf(known)) };
+      return { status: 200, body: statusBody(id, this.#stateOf(id, known)) };
     } catch (error) {
       return this.#unavailable(error);
     }
   }
 
+  /**
+   * Why a job may not await those that it names, or null. Only one that was never accepted anywhere
+   * is a reason, which a request of its own or the archive has to say; and a service, which never ends.
+   * @throws Refused while that cannot be said
+   */
+  async #before(id: string, awaited: readonly string[]): Promise<Reply | null> {
+    for (const other of awaited) {
+      const header = this.#known(other);
+      const found = header !== null ? { header } : await this.#current(other);
+      const service = found !== null && "header" in found && found.header.spec?.kind === "service";
+      if (found !== null && !service) continue;
+      // Only a job that was never accepted itself may be refused.
+      if ((await this.#current(id)) !== null) return null;
+      const reason = service ? "is a service, which never ends" : "was never accepted";
+      return { status: 422, body: { error: `awaits ${other}, which ${reason}` } };
+    }
+    return null;
+  }
+
   /**
    * Accepts a job that nobody has a header of, unless it is in the archive: retried long after it
    * was over, or applied late, a submission must not give it a second life. Null when it turns out
@@ -265,7 +315,7 @@
     }
     return {
       status: "open",
-      spec,
+      spec: storedSpec(spec),
       owners,
       chunkSize,
       at: Math.round(clock.wall()),
@@ -281,12 +331,13 @@
       const known = await this.#current(id);
       if (known === null) return { status: 404, body: { error: "no such job" } };
       // A worker may still prove that it is done.
-      if (this.#closed() && ["pending", "running"].includes(stateOf(known))) {
+      const status = this.#stateOf(id, known);
+      if (this.#closed() && ["pending", "running"].includes(status)) {
         return retryLater(503, RESTORING);
       }
       const counts =
         "past" in known ? { done: known.past.done, running: 0 } : this.#counts(id, known.header);
-      return { status: 200, body: statusBody(id, stateOf(known), counts) };
+      return { status: 200, body: statusBody(id, status, counts) };
     } catch (error) {
       return this.#unavailable(error);
     }
--- a/src/image/commands.ts
+++ b/src/image/commands.ts
@@ -3,7 +3,7 @@
 import { HttpClient } from "../http/client.js";
 import { limitsOf } from "../quota/limits.js";
 import { clusterOf, loadSettings, type Settings } from "../settings/settings.js";
-import { StoreClient } from "../state/store.js";
+import { StoreClient, storeLimits } from "../state/store.js";
 import { checkImage, type Finding } from "./check.js";
 import { collect } from "./collect.js";
 import { exportFinished } from "./export.js";
@@ -20,16 +20,10 @@
 ): Promise<T> {
   const { services, params } = settings;
   const http = new HttpClient(services.state, 4, systemClock);
+  const limits = storeLimits(params.state);
   const store = new StoreClient(
     http,
-    {
-      rps: params.state.rps * part,
-      writeRps: params.state.write_rps * part,
-      ops: params.state.txn_ops,
-      conditions: params.state.txn_ops * 4,
-      valueBytes: params.state.value_kb * 1024,
-      txnBytes: 48 * 1024,
-    },
+    { ...limits, rps: limits.rps * part, writeRps: limits.writeRps * part },
     systemClock,
     10_000,
   );
@@ -54,7 +48,7 @@
     restoreImage(image, {
       store,
       clock: systemClock,
-      writeRps: settings.params.state.write_rps,
+      writeRps: storeLimits(settings.params.state).writeRps,
       members: clusterOf(settings).map(({ name }) => name),
       progress,
     }),
--- a/src/jobs/chunk.ts
+++ b/src/jobs/chunk.ts
@@ -36,6 +36,8 @@
   readonly live = new Map<number, Live>();
   /** The page of the store that holds it; null while there is nothing to keep. */
   page: number | null = null;
+  /** Further pages with a part each of what is live, where it is too much for one. */
+  more: readonly number[] = [];
   /** Version of what it brought along from another part, until that is in a page; else 0. */
   handover = 0;
   /** Counts changes in memory; `saved` is the last one known to be in the store. */
--- a/src/jobs/due.ts
+++ b/src/jobs/due.ts
@@ -30,12 +30,18 @@
  * said. In a backlog an early aim serves a later one too: whoever is given up for it would have
  * made everyone behind it late.
  */
-export function dueOf(spec: JobSpec, at: number, targets: Targets): number {
+export function dueOf(
+  spec: JobSpec,
+  at: number,
+  targets: Targets,
+  /** From when aims for its class count: later than `at` for a job that awaited others. */
+  since: number = at,
+): number {
   if (spec.deadlineS !== null) return at + spec.deadlineS * 1000;
   const { finishedS = null, startedS = null } = targets.get(spec.class) ?? {};
   const afterS = Math.min(
     finishedS ?? Number.POSITIVE_INFINITY,
     startedS === null ? Number.POSITIVE_INFINITY : startedS + spec.estimateS,
   );
-  return at + afterS * 1000;
+  return since + afterS * 1000;
 }
--- a/src/jobs/header.ts
+++ b/src/jobs/header.ts
@@ -107,6 +107,9 @@
 /** How many tasks one chunk holds: few chunks, each of which fits a value of the store. */
 export function chunkSizeFor(tasks: number, parts: number, valueBytes: number): number {
   // A live task takes up to 32 bytes of its record, which leaves a quarter for the rest.
-  const most = Math.max(1, Math.floor((valueBytes * 0.75) / 32));
+  const whole = Math.floor((valueBytes * 0.75) / 32);
+  // Small values: several tasks share a machine's name, and those that do not fit wait (`Ledger.holds`).
+  const shared = Math.min(96, Math.floor((valueBytes - 512) / 16));
+  const most = Math.max(1, whole, shared);
   return Math.min(most, Math.max(1, Math.ceil(tasks / (2 * parts))));
 }
--- a/src/local/state.ts
+++ b/src/local/state.ts
@@ -44,7 +44,7 @@
 
   constructor(
     readonly clock: Clock,
-    readonly limits: StateLimits,
+    public limits: StateLimits,
   ) {
     this.#expire();
   }
--- a/src/membership/presence.ts
+++ b/src/membership/presence.ts
@@ -1,3 +1,5 @@
+import { keys } from "../state/keys.js";
+import type { Mirror } from "../state/mirror.js";
 import { KNOWN_SCHEMA } from "../state/schema.js";
 
 /** What a controller says of itself while its lease holds (`w/n/{name}`). */
@@ -15,6 +17,22 @@
   speaks: readonly string[];
 }
 
+/**
+ * What a controller reads beyond what the first version with this record did. 1: of a chunk in
+ * several pages the newest record counts, and records of one write are one state in pieces.
+ */
+export const READS = 1;
+
+/** Whether all controllers that are there read records as this one does. One that is not is nobody's. */
+export function allRead(mirror: Mirror): boolean {
+  for (const [key, { value }] of mirror.rows) {
+    if (!key.startsWith(keys.node(""))) continue;
+    const { reads } = (value ?? {}) as { reads?: unknown };
+    if (typeof reads !== "number" || reads < READS) return false;
+  }
+  return true;
+}
+
 export function parsePresence(value: unknown): Presence | null {
   if (typeof value !== "object" || value === null) return null;
   const { run, shy, lease, speaks } = value as Record<string, unknown>;
@@ -27,6 +45,7 @@
   run,
   shy,
   schema: KNOWN_SCHEMA,
+  reads: READS,
   ...(lease === null ? {} : { lease }),
   ...(speaks.length === 0 ? {} : { speaks }),
 });
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -8,7 +8,12 @@
   | { kind: "event"; what: Event };
 
 /** What should be rare, and says where to look when it is not. */
-export type Event = "machine deaf" | "report malformed" | "report copied" | "job without owner";
+export type Event =
+  | "machine deaf"
+  | "report malformed"
+  | "report copied"
+  | "job without owner"
+  | "commit rejected";
 
 /** What is known of jobs that are over, when somebody asks. */
 export interface HistoryFigures {
--- a/src/node.ts
+++ b/src/node.ts
@@ -9,7 +9,7 @@
 import { Mesh } from "./peer/mesh.js";
 import { clusterOf, type Settings } from "./settings/settings.js";
 import type { Tuning } from "./settings/tuning.js";
-import { StoreClient } from "./state/store.js";
+import { StoreClient, storeLimits } from "./state/store.js";
 import { ordersPath } from "./wire/workers.js";
 
 export interface NodeOptions {
@@ -53,14 +53,7 @@
     this.#workers = new Agent({ keepAlive: true, maxSockets: 1, timeout: 2 * leaseMs });
     const store = new StoreClient(
       this.#state,
-      {
-        rps: params.state.rps,
-        writeRps: params.state.write_rps,
-        ops: params.state.txn_ops,
-        conditions: params.state.txn_ops * 4,
-        valueBytes: params.state.value_kb * 1024,
-        txnBytes: 48 * 1024,
-      },
+      storeLimits(params.state),
       clock,
       reportMs,
       coreRecords((key, why) => log.error({ key, why }, "record not written")),
--- a/src/part/announcing.ts
+++ b/src/part/announcing.ts
@@ -1,11 +1,13 @@
 import { type Amounts, EPSILON } from "../fair/share.js";
 import { keys } from "../state/keys.js";
+import { Rejected } from "../state/store.js";
 import { kindsOf } from "./balancing.js";
 import type { PartContext } from "./context.js";
 import { progressOf } from "./holding.js";
 import type { Ledger } from "./ledger.js";
 import { usable } from "./placing.js";
 import type { Quota } from "./quota.js";
+import { storedSummary } from "./stored.js";
 import type { Need, Summary } from "./summary.js";
 import { roomsOf } from "./yielding.js";
 
@@ -17,6 +19,8 @@
   #sentAt = 0;
   #lastState = "";
   #summaries = 0;
+  /** The service's limits have fallen. */
+  #narrow = false;
 
   constructor(
     readonly ctx: PartContext,
@@ -40,9 +44,13 @@
     // The store gets one every 5 s (DESIGN): for whoever is cut off from us, and the next leader.
     if (now - this.#summaryAt < 5000 || !store.writes.take(1, 2)) return;
     this.#summaryAt = now;
-    store
-      .transact([claim], [{ put: keys.summary(index), value: this.summary() }])
-      .catch(() => undefined);
+    // A program from before reads whole ones only.
+    const { valueBytes, wideBytes = valueBytes } = store.limits;
+    const most = this.#narrow || this.ctx.together() ? valueBytes : Math.max(valueBytes, wideBytes);
+    const value = storedSummary(this.summary(), most);
+    store.transact([claim], [{ put: keys.summary(index), value }]).catch((error) => {
+      if (error instanceof Rejected) this.#narrow = true;
+    });
   }
 
   /** `progress` is for those who are told at once: a record of the store has no room for it. */
--- a/src/part/commits.ts
+++ b/src/part/commits.ts
@@ -21,7 +21,7 @@
   when: Condition[];
   changes: Change[];
   /** Chunks whose state it saves, in which page; null for those that leave this part's pages. */
-  saves: { chunk: Chunk; version: number; page: number | null }[];
+  saves: { chunk: Chunk; version: number; page: number | null; more: number[] }[];
   /** Pages it writes or removes, with the versions they had. */
   pages: { number: number; version: number; removed: boolean }[];
   headers: { id: string; header: Header }[];
@@ -61,6 +61,15 @@
   #fence = 0;
   #marks = 0;
   #saving = false;
+  /** Pages that cannot be written as a whole any more, with their size, if known. */
+  readonly #stuck = new Map<number, number>();
+  /** Pages that are not written for now: the service found fault with them. */
+  readonly #refused = new Map<number, number>();
+  /** The service refuses values as large as production wrote; nothing so large is sent any more. */
+  #narrow = false;
+  /** Changes that a transaction may have; fewer for a while after the service found fault with one. */
+  #most: number;
+  #looks = 0;
   /** The ledger's count when a look found nothing to write. */
   #cleanAt = 0;
   /** Something was left for times when there is budget enough. */
@@ -72,16 +81,34 @@
     readonly quota: Quota,
     readonly done: (outcome: Outcome) => void,
     readonly stopped: () => boolean,
-  ) {}
+  ) {
+    this.#most = ctx.store.limits.ops;
+  }
 
-  /** What the store had when this owner began. */
-  known(key: string, version: number): void {
+  /** What the store had when this owner began, or has now. */
+  known(key: string, version: number, value?: unknown): void {
     if (key === keys.fence(this.ctx.index)) this.#fence = version;
     const prefix = keys.pages(this.ctx.index);
     if (!key.startsWith(prefix)) return;
     const number = Number(key.slice(prefix.length));
     if (version > 0) this.#pages.set(number, version);
     else this.#pages.delete(number);
+    const size = value === undefined ? 0 : sizeOf(value);
+    if (size > pageBytes(this.ctx.store.limits)) this.#stuck.set(number, size);
+  }
+
+  /**
+   * Whether a page is left as it is, because what it holds fits no value any more: what changes of it
+   * goes to other pages, and the newer record counts. Not while a program from before that could
+   * become the owner, which goes by the last page and not by the newest (`docs/state.md`).
+   */
+  #isStuck(number: number): boolean {
+    return this.#stuck.has(number) && (this.#narrow || this.ctx.together());
+  }
+
+  /** Whether a page is larger than pages may be now. */
+  isLarge(number: number): boolean {
+    return this.#stuck.has(number);
   }
 
   /** The key of a record that cannot be read: it is not written over. */
@@ -124,8 +151,16 @@
    */
   #collect(leave: boolean): Batch {
     const { index, store, mirror } = this.ctx;
-    const { ops, conditions, txnBytes } = store.limits;
+    const { conditions, txnBytes, wideBytes = 0 } = store.limits;
+    const ops = this.#most;
     const pageSize = pageBytes(store.limits);
+    const wideSize = this.#narrow
+      ? pageSize
+      : Math.max(pageSize, Math.min(wideBytes, txnBytes / 3));
+    // What is kept for a page that has to be divided, where transactions are not small.
+    const spare = Math.min(2, Math.floor(ops / 6));
+    // Slices change often: in a small transaction they come every second time.
+    const slicesMost = ops >= 12 ? Number.POSITIVE_INFINITY : this.#looks++ % 2;
     const fenceKey = keys.fence(index);
     const batch: Batch = {
       when: [
@@ -152,11 +187,19 @@
       batch.changes.push({ put: key, value });
       bytes += OVERHEAD + sizeOf(value);
     };
+    const remove = (number: number): void => {
+      const version = this.#pages.get(number) ?? 0;
+      const key = keys.page(index, number);
+      batch.pages.push({ number, version, removed: true });
+      if (version === 0) return;
+      batch.when.push({ key, version });
+      batch.changes.push({ remove: key });
+    };
     // A record that its own reader would refuse is left out, and nothing but that record.
     const unwritable = (key: string, value: unknown): boolean =>
       store.writable.fault(key, value) !== null;
     for (const change of this.quota.changes()) {
-      if (!room(ops / 2)) break;
+      if (!room(Math.floor(ops / 2)) || batch.slices.length >= slicesMost) break;
       if (unwritable(change.key, change.record)) continue;
       put(change.key, change.version, change.record);
       batch.slices.push(change);
@@ -165,8 +208,15 @@
     const pages = new Map<number, Chunk[]>();
     for (const number of this.#pages.keys()) pages.set(number, []);
     const dirty = new Set<number>();
+    /** Chunks in several pages, all of which are written at once. */
+    const pieced: Chunk[] = [];
+    const solo = new Set<number>();
     const fresh: Chunk[] = [];
     const leaving: { job: Job; chunk: Chunk }[] = [];
+    const toSave = (chunk: Chunk): void => {
+      if (chunk.page === null || this.#isStuck(chunk.page)) fresh.push(chunk);
+      else dirty.add(chunk.page);
+    };
     for (const job of this.ledger.jobs.values()) {
       const over = !job.open;
       for (const chunk of [...job.chunks.values()]) {
@@ -182,11 +232,12 @@
           if (members === undefined) pages.set(chunk.page, [chunk]);
           else members.push(chunk);
         }
-        if (leave && (ends || chunk.movingTo !== null)) leaving.push({ job, chunk });
-        else if (chunk.saved < chunk.version) {
-          if (chunk.page === null) fresh.push(chunk);
-          else dirty.add(chunk.page);
-        }
+        if (chunk.more.length > 0) {
+          // It leaves once it is in one page again.
+          for (const number of [chunk.page!, ...chunk.more]) solo.add(number);
+          if (ends || chunk.saved < chunk.version) pieced.push(chunk);
+        } else if (leave && (ends || chunk.movingTo !== null)) leaving.push({ job, chunk });
+        else if (chunk.saved < chunk.version) toSave(chunk);
       }
     }
     const headers = new Map<Job, Header>();
@@ -198,7 +249,9 @@
       const { movingTo } = chunk;
       const takesAlong = movingTo !== null && chunk.attempts > 0;
       const writesHeader = movingTo !== null || job.open;
-      const newPage = chunk.page !== null && !leftPages.has(chunk.page) ? chunk.page : null;
+      // Of a page that stays as it is, what it has of a chunk that is over counts no more.
+      const stays = chunk.page === null || this.#isStuck(chunk.page);
+      const newPage = !stays && !leftPages.has(chunk.page!) ? chunk.page : null;
       const newSize = newPage === null ? 0 : this.#sum(pages.get(newPage)!);
       const needed =
         (newPage === null ? 0 : 1) +
@@ -213,13 +266,10 @@
       // One page may have to be split, and new chunks may need one.
       if (
         kept ||
-        !room(leftPages.size + headers.size + needed + 2, leftBytes + newSize + pageSize)
+        !room(leftPages.size + headers.size + needed + spare, leftBytes + newSize + pageSize)
       ) {
         // It stays for now, and is saved like any other.
-        if (chunk.saved < chunk.version) {
-          if (chunk.page === null) fresh.push(chunk);
-          else dirty.add(chunk.page);
-        }
+        if (chunk.saved < chunk.version) toSave(chunk);
         continue;
       }
       left.add(chunk);
@@ -227,7 +277,7 @@
         leftPages.add(newPage);
         leftBytes += newSize;
       }
-      batch.saves.push({ chunk, version: chunk.version, page: null });
+      batch.saves.push({ chunk, version: chunk.version, page: null, more: [] });
       this.#forgetHandover(batch, chunk);
       if (along !== null) {
         // What it has done, and the attempts it has used.
@@ -244,7 +294,7 @@
         this.#heldBack = true;
         break;
       }
-      if (!room(leftPages.size + headers.size + 4, leftBytes + pageSize)) break;
+      if (!room(leftPages.size + headers.size + 2 + spare, leftBytes + pageSize)) break;
       const header = { ...job.header, started: true };
       if (!unwritable(job.key, header)) headers.set(job, header);
     }
@@ -255,11 +305,33 @@
     }
 
     const unused = (): number => {
-      let number = 0;
-      while (pages.has(number) || this.#reserved.has(number)) number++;
+      // Behind all that stay as they are, also in order of text: a program from before that reads both
+      // goes by the last one.
+      let number = this.#stuck.size > 0 ? 900 : 0;
+      const taken = (n: number): boolean => pages.has(n) || this.#reserved.has(n) || solo.has(n);
+      while (taken(number) || !this.#behind(number)) number++;
       pages.set(number, []);
       return number;
     };
+    const writable = (number: number): boolean =>
+      !solo.has(number) && !this.#stuck.has(number) && this.#behind(number) && !this.#waits(number);
+    for (const chunk of pieced) {
+      if (this.#waits(chunk.page!)) continue;
+      const old = [chunk.page!, ...chunk.more];
+      const pieces = piecesOf(chunk, pageSize * FULL);
+      const surplus = old.slice(pieces.length);
+      if (!room(leftPages.size + pieces.length + surplus.length)) continue;
+      const numbers = pieces.map((_, i) => old[i] ?? unused());
+      for (const [i, number] of numbers.entries()) {
+        solo.add(number);
+        const version = this.#pages.get(number) ?? 0;
+        batch.pages.push({ number, version, removed: false });
+        put(keys.page(index, number), version, pieces[i]);
+      }
+      for (const number of surplus) remove(number);
+      const [page, ...more] = numbers;
+      batch.saves.push({ chunk, version: chunk.version, page: page!, more });
+    }
     const staying = (number: number): Chunk[] =>
       pages.get(number)!.filter((chunk) => !left.has(chunk));
     let takenIn = 0;
@@ -267,22 +339,56 @@
       // What it brought along is removed in the same transaction, one change for each chunk: when
       // many came at once, transactions had too many changes, and none went through any more.
       if (chunk.handover > 0) {
-        if (!room(leftPages.size + dirty.size + takenIn + 3)) continue;
+        if (!room(leftPages.size + dirty.size + takenIn + Math.max(1, spare + 1))) continue;
         takenIn++;
       }
+      if (this.#size(chunk) > pageSize * FULL && (this.#narrow || this.ctx.together())) {
+        // Alone too large for a value: in pieces, all of them in this transaction.
+        const pieces = piecesOf(chunk, pageSize * FULL);
+        if (!room(leftPages.size + dirty.size + takenIn + pieces.length)) continue;
+        const numbers = pieces.map(() => unused());
+        for (const [i, number] of numbers.entries()) {
+          solo.add(number);
+          batch.pages.push({ number, version: 0, removed: false });
+          put(keys.page(index, number), 0, pieces[i]);
+        }
+        const [page, ...more] = numbers;
+        batch.saves.push({ chunk, version: chunk.version, page: page!, more });
+        this.#forgetHandover(batch, chunk);
+        continue;
+      }
       const fits = (number: number): boolean =>
         this.#rawSize(number) + this.#sum(staying(number)) + this.#size(chunk) <= pageSize * ROOMY;
       const number =
-        [...dirty, ...leftPages].find(fits) ?? [...pages.keys()].find(fits) ?? unused();
+        [...dirty, ...leftPages].filter(writable).find(fits) ??
+        [...pages.keys()].filter(writable).find(fits) ??
+        unused();
+      if (chunk.page !== null) {
+        // Out of a page that stays as it is.
+        const members = pages.get(chunk.page)!;
+        members.splice(members.indexOf(chunk), 1);
+      }
       pages.get(number)!.push(chunk);
       dirty.add(number);
     }
     for (const number of new Set([...leftPages, ...dirty])) {
-      const groups = this.#split(staying(number), pageSize * FULL - this.#rawSize(number));
+      if (this.#waits(number)) {
+        if (leave && leftPages.has(number)) return this.#collect(false);
+        continue;
+      }
+      const wide = this.#stuck.has(number) ? wideSize : pageSize;
+      let groups = this.#split(staying(number), wide * FULL - this.#rawSize(number));
       const removals = staying(number).filter(({ handover }) => handover > 0).length;
-      if (!room(groups.length + removals + 1, this.#sum(staying(number)))) {
-        if (leftPages.has(number)) return this.#collect(false);
-        break;
+      if (groups.length > 1 && groups.length + removals >= ops) {
+        // More than any transaction holds: what changes of it goes to other pages, one by one.
+        this.#stuck.set(number, this.#sum(staying(number)));
+        if (this.#isStuck(number)) return this.#collect(leave);
+        groups = [staying(number)];
+      }
+      if (!room(groups.length + removals + Math.min(1, spare), this.#sum(staying(number)))) {
+        if (leave && leftPages.has(number)) return this.#collect(false);
+        if (spare > 0) break;
+        continue;
       }
       const written = groups.map((chunks, i) => {
         const page = i === 0 ? number : unused();
@@ -297,18 +403,23 @@
       for (const { chunks, page, key, value } of written) {
         const version = this.#pages.get(page) ?? 0;
         for (const chunk of chunks) {
-          batch.saves.push({ chunk, version: chunk.version, page });
+          batch.saves.push({ chunk, version: chunk.version, page, more: [] });
           this.#forgetHandover(batch, chunk);
         }
         const removed = value === null;
-        batch.pages.push({ number: page, version, removed });
-        if (!removed) put(key, version, value);
-        else if (version > 0) {
-          batch.when.push({ key, version });
-          batch.changes.push({ remove: key });
+        if (removed) remove(page);
+        else {
+          batch.pages.push({ number: page, version, removed });
+          put(key, version, value);
         }
       }
     }
+    // What stayed as it was goes once nothing of it counts.
+    for (const number of this.#stuck.keys()) {
+      if (!this.#isStuck(number) || !pages.has(number) || !room(1)) continue;
+      if (staying(number).length > 0 || this.#raw.has(number)) continue;
+      remove(number);
+    }
     if (batch.changes.length > 0 && !batch.pages.some(({ removed }) => !removed)) {
       // Only a version that this owner alone changes tells later whether it was applied.
       batch.mark = this.#mark();
@@ -317,6 +428,34 @@
     return batch;
   }
 
+  /** Whether a page comes behind all that stay as they are, in order of text. */
+  #behind(number: number): boolean {
+    for (const stuck of this.#stuck.keys()) if (String(stuck) >= String(number)) return false;
+    return true;
+  }
+
+  /** Whether a page is left alone for a while, because the service found fault with it. */
+  #waits(number: number): boolean {
+    const until = this.#refused.get(number);
+    if (until === undefined) return false;
+    if (until > this.ctx.clock.now()) return true;
+    this.#refused.delete(number);
+    return false;
+  }
+
+  /**
+   * The service finds fault with a transaction: its limits have fallen, or one record of it is too large.
+   * It is never sent again as it was: smaller ones show which record it is, and that one waits.
+   */
+  #rejected({ changes, pages }: Batch, why: string): void {
+    const { log, metrics, clock, leaseMs, index } = this.ctx;
+    metrics.add({ kind: "event", what: "commit rejected" });
+    log.error({ part: index, why, changes: changes.length }, "commit rejected");
+    if (!this.#narrow) this.#narrow = true;
+    else if (this.#most > 4) this.#most = Math.max(4, Math.floor(this.#most / 2));
+    else for (const { number } of pages) this.#refused.set(number, clock.now() + leaseMs);
+  }
+
   /** A header as it is written: closed with its last chunk. */
   #closing(header: Header): Header {
     return allFinished(header.owners) ? doneHeader(header, this.ctx.clock.wall()) : header;
@@ -374,9 +513,8 @@
     } catch (error) {
       if (error instanceof Refused) {
         // Not executed. The same changes are collected again later.
-        if (error instanceof Rejected) {
-          log.error({ why: error.message, changes: batch.changes.length }, "commit rejected");
-        } else log.debug({ why: error.message }, "commit refused");
+        if (error instanceof Rejected) this.#rejected(batch, error.message);
+        else log.debug({ why: error.message }, "commit refused");
         await sleep(clock, reportMs / 10);
       } else {
         log.debug({ why: String(error) }, "commit without answer");
@@ -466,14 +604,17 @@
       }
       return;
     }
+    this.#most = Math.min(this.ctx.store.limits.ops, this.#most + 1);
     // An answer that was lost: the fence has been changed since.
     if (batch.mark !== null) this.#fence = Math.max(this.#fence, revision);
     for (const { number, removed } of batch.pages) {
       if (removed) this.#pages.delete(number);
       else this.#pages.set(number, revision);
+      if (removed) this.#stuck.delete(number);
     }
-    for (const { chunk, version, page } of batch.saves) {
+    for (const { chunk, version, page, more } of batch.saves) {
       chunk.page = page;
+      chunk.more = more;
       chunk.saved = version;
       chunk.handover = 0;
     }
@@ -488,6 +629,21 @@
   return { ...header, owners, moves: header.moves + (movingTo === null ? 0 : 1) };
 }
 
+/** A chunk's state as several pages, each of which fits: what is live is divided. */
+function piecesOf(chunk: Chunk, most: number): PageRecord[] {
+  const { attempts, done, live } = chunk.state;
+  const name = chunkName(chunk.job, chunk.index);
+  for (let count = 1; ; count++) {
+    const each = Math.max(1, Math.ceil(live.length / count));
+    const pieces = Array.from({ length: count }, (_, i) =>
+      encodePage([
+        [name, { attempts, done: i === 0 ? done : "", live: live.slice(i * each, (i + 1) * each) }],
+      ]),
+    );
+    if (count >= live.length || pieces.every((piece) => sizeOf(piece) <= most)) return pieces;
+  }
+}
+
 const pageOf = (
   chunks: Iterable<Chunk>,
   raw: readonly [name: string, state: ChunkState][] = [],
--- a/src/part/context.ts
+++ b/src/part/context.ts
@@ -4,6 +4,7 @@
 import type { Targets } from "../jobs/due.js";
 import type { Log } from "../log.js";
 import type { Metrics } from "../metrics.js";
+import type { Pipelines } from "../pipeline/index.js";
 import type { Mirror } from "../state/mirror.js";
 import type { Condition, Store } from "../state/store.js";
 import type { MachineType } from "../wire/cloud.js";
@@ -55,6 +56,10 @@
   /** Ids of the jobs of all parts that are to be in time. */
   timely(): ReadonlySet<string>;
   targets: Targets;
+  /** Whether every controller that is there reads records as this one does. */
+  together(): boolean;
+  /** Which jobs wait for which. */
+  pipelines: Pipelines;
   /** Sends commands straight to a worker; whether they arrive shows in its reports. */
   order(address: string, session: number, commands: wire.Command[]): void;
   /** Tells the other controllers, and our own, how this part stands. */
--- a/src/part/job.ts
+++ b/src/part/job.ts
@@ -1,6 +1,7 @@
 import type { Chunk } from "../jobs/chunk.js";
 import { dueOf, type Targets } from "../jobs/due.js";
 import type { Header } from "../jobs/header.js";
+import { type Pipelines, placedSpec } from "../pipeline/index.js";
 import { keys } from "../state/keys.js";
 import type { Mirror } from "../state/mirror.js";
 import type { JobSpec } from "../wire/jobs.js";
@@ -9,7 +10,10 @@
 export class Job {
   readonly chunks = new Map<number, Chunk>();
   readonly key: string;
-  readonly due: number;
+  /** A copy of its own: priorities flow back along a pipeline. */
+  readonly spec: JobSpec;
+  /** Time of day, milliseconds. */
+  due: number;
   /** Failures in a row, on whatever machine. */
   failures = 0;
   notBefore = 0;
@@ -19,7 +23,7 @@
 
   constructor(
     readonly id: string,
-    readonly spec: JobSpec,
+    spec: JobSpec,
     header: Header,
     readonly mirror: Mirror,
     public waitingSince: number,
@@ -27,6 +31,7 @@
   ) {
     this.key = keys.job(id);
     this.#last = header;
+    this.spec = placedSpec(spec);
     this.at = header.at;
     this.due = dueOf(spec, this.at, targets);
   }
@@ -45,6 +50,15 @@
     return this.#last;
   }
 
+  /** Takes over what its pipeline says of it: its times, its priority and when it is due. */
+  follow(pipelines: Pipelines, targets: Targets): void {
+    const own = this.header.spec;
+    if (own === undefined) return;
+    this.spec.rank = pipelines.rank(this.id, own.rank);
+    const since = pipelines.since(this.id, this.at);
+    this.due = pipelines.due(this.id, dueOf(own, this.at, targets, since));
+  }
+
   get open(): boolean {
     return this.header.status === "open";
   }
--- a/src/part/ledger.ts
+++ b/src/part/ledger.ts
@@ -54,6 +54,21 @@
     return Math.max(1, Math.floor((bytes * 0.75) / (this.#longestName + 20)));
   }
 
+  /** Whether a chunk's state still fits a page with one more task on a machine. */
+  holds(chunk: Chunk, machine: string): boolean {
+    const { live } = chunk;
+    if (live.size < this.mostLive) return true;
+    const bytes = pageBytes(this.ctx.store.limits);
+    if (bytes >= 8192) return false;
+    // Small values: what it takes is counted, with each machine named once.
+    const names = new Set([machine]);
+    for (const other of live.values()) names.add(other.machine);
+    const done = 4 * Math.min(chunk.doneCount, chunk.size - chunk.doneCount) + 16;
+    const item = 3 + String(chunk.size).length + String(chunk.attempts + 1).length + 3;
+    const all = 256 + done + (live.size + 1) * item + names.size * (this.#longestName + 3);
+    return all <= bytes * 0.9;
+  }
+
   /** The chunks of a job that are ours by its header and that are not here yet. */
   missing(id: string, header: Header): { job: Job; chunks: number[] } | null {
     if (header.spec === undefined) return null;
@@ -72,6 +87,18 @@
     return { job, chunks };
   }
 
+  /** What pipelines say of the jobs in them, for the pass that begins. */
+  follow(): void {
+    const { pipelines, targets, clock } = this.ctx;
+    for (const id of pipelines.ids) {
+      const job = this.jobs.get(id);
+      if (job === undefined) continue;
+      job.follow(pipelines, targets);
+      // It begins to wait for room when it has waited for all others.
+      if (pipelines.waits(id)) job.waitingSince = clock.now();
+    }
+  }
+
   adopt(job: Job, index: number, state: ChunkState | null): Chunk {
     const { chunkSize, tasks } = job.header;
     const first = index * chunkSize;
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -39,10 +39,22 @@
 /** What an earlier owner, or the part that a chunk came from, has left of it. */
 interface Kept {
   state: ChunkState;
-  page: number | null;
+  pages: readonly number[];
   handover: number;
+  /** Of the record that it is in. */
+  version: number;
 }
 
+const joined = (a: Kept, b: Kept): Kept => ({
+  ...a,
+  state: {
+    attempts: Math.max(a.state.attempts, b.state.attempts),
+    done: [a.state.done, b.state.done].filter((done) => done !== "").join(","),
+    live: [...a.state.live, ...b.state.live],
+  },
+  pages: [...a.pages, ...b.pages],
+});
+
 /**
  * Owns one part: the machines hashed into it and the chunks of jobs given to it. Everything it
  * decides is committed on condition of its claim's version before it takes effect.
@@ -106,8 +118,12 @@
         this.#takeIn(key.slice(HEADERS.length), row.value, kept);
     }
     this.#aside.loaded();
-    for (const [name, { state, page }] of kept) {
-      if (page !== null && !this.#adopted(name)) this.#commits.keepRaw(page, name, state);
+    for (const [name, { state, pages }] of kept) {
+      const [page] = pages;
+      if (page === undefined || this.#adopted(name)) continue;
+      // A page that is too large to be written still has what has gone from here since.
+      if (this.#commits.isLarge(page) && this.#elsewhere(name)) continue;
+      this.#commits.keepRaw(page, name, state);
     }
     // Machines returned before our time: nothing of theirs is left.
     for (const machine of ctx.gone) this.#workers.gone(machine);
@@ -190,14 +206,16 @@
         this.#commits.reserve(key);
         continue;
       }
-      this.#commits.known(key, version);
+      this.#commits.known(key, version, value);
       const inPage = key.startsWith(keys.pages(index));
-      const page = inPage ? Number(key.slice(keys.pages(index).length)) : null;
+      const pages = inPage ? [Number(key.slice(keys.pages(index).length))] : [];
       for (const [name, state] of states) {
-        // What has come along from another part is in a page only once that part's copy is gone.
-        if (page !== null || !kept.has(name)) {
-          kept.set(name, { state, page, handover: page === null ? version : 0 });
-        }
+        const one = { state, pages, handover: inPage ? 0 : version, version };
+        const other = kept.get(name);
+        // A page that cannot be written any more keeps what has gone to newer records since; and what
+        // was written at once in several pages is one state in pieces.
+        if (other === undefined || other.version < version) kept.set(name, one);
+        else if (other.version === version) kept.set(name, joined(other, one));
       }
     }
     return kept;
@@ -239,6 +257,14 @@
     return false;
   }
 
+  /** Whether a header says that a chunk is over, or another part's. */
+  #elsewhere(name: string): boolean {
+    const slash = name.lastIndexOf("/");
+    const header = this.ctx.mirror.rows.get(keys.job(name.slice(0, slash)))?.value;
+    const owner = isHeader(header) ? header.owners[Number(name.slice(slash + 1))] : undefined;
+    return isHeader(header) && owner !== partChar(this.ctx.index);
+  }
+
   #adopted(name: string): boolean {
     const slash = name.lastIndexOf("/");
     return this.jobs.get(name.slice(0, slash))?.chunks.has(Number(name.slice(slash + 1))) === true;
@@ -252,7 +278,9 @@
       for (const live of chunk.live.values()) this.#workers.stop(live, job.spec.saveS, "no team");
     }
     if (kept === null) return;
-    chunk.page = kept.page;
+    const [page = null, ...more] = kept.pages;
+    chunk.page = page;
+    chunk.more = more;
     chunk.handover = kept.handover;
   }
 
@@ -281,7 +309,9 @@
       return;
     }
     const kept =
-      row === null || state === undefined ? null : { state, page: null, handover: row.version };
+      row === null || state === undefined
+        ? null
+        : { state, pages: [], handover: row.version, version: row.version };
     this.#adopt(job, index, kept);
     if (!job.open) this.#workers.cancel(job);
     this.#soon();
@@ -325,6 +355,7 @@
         this.ctx.reportMs,
       );
     }
+    this.#ledger.follow();
     this.#quota.begin();
     if (this.ctx.settling()) {
       this.#workers.sendOrders();
--- a/src/part/placing.ts
+++ b/src/part/placing.ts
@@ -230,7 +230,7 @@
     const machine = this.#again(job, pass) ?? this.#best(job, pass);
     if (machine === null) return false;
     for (const chunk of job.chunks.values()) {
-      if (chunk.movingTo !== null || chunk.live.size >= this.ledger.mostLive) continue;
+      if (chunk.movingTo !== null || !this.ledger.holds(chunk, machine.id)) continue;
       const index = chunk.nextPending();
       if (index === null) continue;
       this.#place(job, chunk, index, machine, pass);
--- a/src/part/summary.ts
+++ b/src/part/summary.ts
@@ -1,4 +1,5 @@
 import { isMap } from "../wire/cbor.js";
+import { fullSummary } from "./stored.js";
 
 /** What a part's owner tells the others: written to the store, and sent when it is urgent. */
 export interface Summary {
@@ -106,7 +107,7 @@
     ) {
       return;
     }
-    this.#newest.set(part, summary);
+    this.#newest.set(part, fullSummary(summary, known));
   }
 
   of(part: number): Summary | undefined {
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -51,6 +51,15 @@
       write_rps: positive,
       value_kb: positive,
       txn_ops: z.number().int().min(2),
+      // Limits that come into force some time later, without notice; what is missing stays.
+      next: z
+        .object({
+          rps: positive.optional(),
+          write_rps: positive.optional(),
+          value_kb: positive.optional(),
+          txn_ops: z.number().int().min(2).optional(),
+        })
+        .optional(),
     }),
     cloud: z.object({ rps: positive, list_lag_s: amount }),
     quota: z.object({
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -29,6 +29,32 @@
   conditions: number;
   valueBytes: number;
   txnBytes: number;
+  /** How large a value may still be where one as large is there already; until the service says no. */
+  wideBytes?: number;
+}
+
+/** What settings say of the state service, as far as limits go. */
+export interface StateSettings {
+  rps: number;
+  write_rps: number;
+  value_kb: number;
+  txn_ops: number;
+  next?: { rps?: number; write_rps?: number; value_kb?: number; txn_ops?: number };
+}
+
+/** The smaller of the limits that hold now and of those that will: nobody is told when they change. */
+export function storeLimits({ next = {}, ...now }: StateSettings): StoreLimits {
+  const least = (name: "rps" | "write_rps" | "value_kb" | "txn_ops"): number =>
+    Math.min(now[name], next[name] ?? now[name]);
+  return {
+    rps: least("rps"),
+    writeRps: least("write_rps"),
+    ops: least("txn_ops"),
+    conditions: least("txn_ops") * 4,
+    valueBytes: least("value_kb") * 1024,
+    txnBytes: 48 * 1024,
+    wideBytes: now.value_kb * 1024,
+  };
 }
 
 /** What the rest of the program needs of the state service; tests have one in memory. */
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -37,6 +37,14 @@
   deadlineS: number | null;
   /** Only with the package for submit files; absent for all other jobs. */
   match?: Match;
+  /** Jobs that have to be done before any task of this one starts; absent for all other jobs. */
+  after?: After;
+}
+
+export interface After {
+  jobs: string[];
+  /** In the store: the machine types that the job allows, `types` being one that no machine has. */
+  types?: string[] | null;
 }
 
 /** What a job asks of machines in expressions. The texts are the package's to read; "" is none. */
@@ -92,6 +100,7 @@
   requirements: z.string().nullish(),
   rank: z.string().nullish(),
   atOnce: count.nullish(),
+  awaits: z.array(z.string().regex(JOB_ID, "not a job id")).nullish(),
 });
 
 export type Parsed<T> = { ok: true; value: T } | { ok: false; reason: string };
@@ -105,6 +114,7 @@
   }
   const job = result.data;
   const match = matchOf(job);
+  const awaited = [...new Set(job.awaits ?? [])];
   const named = job.builds?.length === 1 && job.builds[0] === BY_REQUIREMENTS;
   if ((match !== null) !== named) {
     const reason = `a job with expressions, and no other, has ["${BY_REQUIREMENTS}"] here`;
@@ -134,6 +144,7 @@
         saveS: job.stashS,
         deadlineS: job.dueS ?? null,
         ...(match === null ? {} : { match }),
+        ...(awaited.length === 0 ? {} : { after: { jobs: awaited } }),
       },
     },
   };
--- a/src/workers/places.ts
+++ b/src/workers/places.ts
@@ -8,7 +8,11 @@
  * jobs with expressions may start nowhere.
  */
 export class Places {
-  constructor(readonly matching: Matching | null) {}
+  constructor(
+    readonly matching: Matching | null,
+    /** Whether a job waits for others to be done. */
+    readonly waits: (id: string) => boolean = () => false,
+  ) {}
 
   /** `room` is what is free there; null for a machine with nothing on it. */
   may(spec: JobSpec, on: MachineKind, room: Room | null = null): boolean {
@@ -30,10 +34,11 @@
   }
 
   /**
-   * Whether a job cannot start anywhere for the time being, whatever room there is: it is held, or
-   * no machine would match. It then wants no room, no quota and no machines.
+   * Whether a job cannot start anywhere for the time being, whatever room there is: it waits for other
+   * jobs, it is held, or no machine would match. It then wants no room, no quota and no machines.
    */
   idle(id: string, spec: JobSpec): boolean {
+    if (spec.after !== undefined && this.waits(id)) return true;
     return spec.match !== undefined && this.matching?.idle(id, spec) !== false;
   }
 
--- a/test/archive-model.test.ts
+++ b/test/archive-model.test.ts
@@ -21,6 +21,7 @@
 import { Layout } from "../src/membership/layout.js";
 import { Metrics } from "../src/metrics.js";
 import { Summaries } from "../src/part/summary.js";
+import { Pipelines } from "../src/pipeline/index.js";
 import { HEADERS, keys } from "../src/state/keys.js";
 import { Mirror } from "../src/state/mirror.js";
 import type { Change, Condition, Row } from "../src/state/store.js";
@@ -149,7 +150,11 @@
     const metrics = new Metrics(this.clock, 1e9);
     const refusals = new Refusals(most, this.clock, quiet, metrics, 1000);
     const places = new Places(null);
-    const users = new Users(core, most, new Map(), [], places, history, refusals, () => true);
+    const lookUp = (id: string) => history.find(id);
+    const pipelines = new Pipelines(mirror, store, this.clock, quiet, 1000, lookUp);
+    const users = new Users(
+      ...([core, most, new Map(), [], places, history, refusals, () => true, pipelines] as const),
+    );
     return { core, users, lookups: new Lookups(store, this.clock, quiet, 1), history };
   }
 
--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { parseSettings, SettingsError } from "../src/settings/settings.js";
+import { type StoreLimits, storeLimits } from "../src/state/store.js";
+import { fault } from "./support/faults.js";
+import { Random } from "./support/random.js";
+import { TEAMS, wrongs } from "./support/troubled.js";
+import { settingsFor, World } from "./support/world.js";
+
+const NOW = { rps: 250, write_rps: 30, value_kb: 32, txn_ops: 12 };
+const cases: { next?: object; writeRps: number; valueBytes: number; ops: number }[] = [
+  { writeRps: 30, valueBytes: 32768, ops: 12 },
+  { next: {}, writeRps: 30, valueBytes: 32768, ops: 12 },
+  { next: { value_kb: 2 }, writeRps: 30, valueBytes: 2048, ops: 12 },
+  { next: { value_kb: 64, txn_ops: 4, write_rps: 21 }, writeRps: 21, valueBytes: 32768, ops: 4 },
+];
+for (const { next, ...expected } of cases) {
+  test(`limits: now and next ${JSON.stringify(next)}: the smaller of both`, () => {
+    const { writeRps, valueBytes, ops, conditions } = storeLimits({
+      ...NOW,
+      ...(next && { next }),
+    });
+    assert.deepEqual({ writeRps, valueBytes, ops }, expected);
+    assert.equal(conditions, 4 * ops);
+  });
+}
+
+test("limits: what is wrong with those to come is said with its place", () => {
+  const text = (next: string): string => `node_name = "a"
+site = "s"
+listen = "1.1.1.1:1"
+cluster_listen = "1.1.1.1:2"
+[services]
+cloud = "1.1.1.1:3"
+state = "1.1.1.1:4"
+[params]
+size = 1
+teams = []
+workers = { report_s = 2, lease_s = 12, cancel_s = 30 }
+state = { rps = 1, write_rps = 1, value_kb = 8, txn_ops = 12, next = { ${next} } }
+cloud = { rps = 1, list_lag_s = 1 }
+quota = { cores = 1, ram_mb = 100, max_sockets = 10 }`;
+  assert.equal(parseSettings(text("txn_ops = 4, later = 1"), "f").params.state.next?.txn_ops, 4);
+  assert.throws(
+    () => parseSettings(text("value_kb = -1"), "f"),
+    (error) => {
+      return error instanceof SettingsError && /params\.state\.next\.value_kb/.test(error.message);
+    },
+  );
+});
+
+const LARGE: StoreLimits = {
+  rps: 200,
+  writeRps: 60,
+  ops: 12,
+  conditions: 48,
+  valueBytes: 8192,
+  txnBytes: 48 * 1024,
+};
+const SMALL: StoreLimits = { ...LARGE, ops: 4, conditions: 16, valueBytes: 1024, wideBytes: 8192 };
+
+/**
+ * Controllers that write records as large as they may, restarted one by one with the limits to come;
+ * then these hold, and whatever was written before is still there.
+ */
+async function fallingDay(seed: number, troubled: boolean, ghost = false): Promise<World> {
+  const world = new World(seed, 3, TEAMS, 12, {}, ["a"], undefined, 60);
+  const dice = new Random(seed + 90);
+  await world.clock.run(20_000);
+  let jobs = 0;
+  const submit = (tasks: number, runMs: number): void => {
+    const id = `wk-${800_000 + jobs++}`;
+    const body = { memGb: 0.1 };
+    world.submit(id, { team: dice.pick(TEAMS).name, tasks, cpus: 0.125, runMs, body });
+  };
+  for (let n = 0; n < 6; n++) submit(dice.int(80, 140), dice.int(60_000, 80_000));
+  for (let n = 0; n < 20; n++) submit(dice.int(1, 5), dice.int(60_000, 80_000));
+  await world.clock.run(45_000);
+  const sizes = [...world.state.rows].map(([, { value }]) => JSON.stringify(value).length);
+  assert.ok(Math.max(...sizes) > SMALL.valueBytes, `${Math.max(...sizes)}`);
+  // Somebody from before seems to be there still.
+  if (ghost) world.state.transact([], [{ put: "w/n/ghost", value: { run: "r", shy: true } }]);
+  for (let n = 0; n < 3; n++) {
+    world.crash(n, 1500);
+    world.stores[n]!.limits = SMALL;
+    await world.clock.run(6000);
+  }
+  world.state.limits = SMALL;
+  for (let step = 0; step < 30; step++) {
+    if (dice.chance(0.4)) submit(dice.int(1, 60), dice.int(2000, 20_000));
+    if (troubled && dice.chance(0.2)) fault(world, dice);
+    await world.clock.run(3000);
+  }
+  await world.clock.run(330_000);
+  world.stop();
+  return world;
+}
+
+for (const seed of [1, 2, 3]) {
+  test(`limits: they fall after an upgrade, and no job stands still, seed ${seed}`, async () => {
+    const world = await fallingDay(seed, seed > 1);
+    assert.deepEqual(wrongs(world), []);
+    assert.deepEqual(
+      world.stores.flatMap(({ rejected }) => rejected),
+      [],
+    );
+  });
+}
+
+test("limits: they fall while large records are still written: divided after the first refusal", async () => {
+  const world = await fallingDay(4, false, true);
+  assert.ok(world.stores.some(({ rejected }) => rejected.length > 0));
+  assert.deepEqual(wrongs(world), []);
+});
+
+test("limits: a platform's settings without any to come are what they were", () => {
+  const { params } = settingsFor(0, 3, TEAMS);
+  assert.equal(storeLimits(params.state).valueBytes, params.state.value_kb * 1024);
+});
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -8,6 +8,7 @@
 import { Metrics } from "../src/metrics.js";
 import { Part } from "../src/part/part.js";
 import { Summaries } from "../src/part/summary.js";
+import { Pipelines } from "../src/pipeline/index.js";
 import { defaultTuning } from "../src/settings/tuning.js";
 import { Mirror } from "../src/state/mirror.js";
 import type { Change, Condition, Row } from "../src/state/store.js";
@@ -33,6 +34,7 @@
   readonly lent = new Set<string>();
   token = 0;
   lost = false;
+  together = true;
   /** Passes over the jobs. */
   passes = 0;
   settling = false;
@@ -63,6 +65,15 @@
         index: 0,
         claim: { key: "w/p/0", version: this.token },
         doubtful: () => false,
+        together: () => this.together,
+        pipelines: new Pipelines(
+          this.mirror,
+          this.store,
+          this.clock,
+          quiet,
+          2000,
+          async () => null,
+        ),
         settling: () => this.settling,
         settleMs: 30_000,
         token: this.token,
--- a/test/support/store.ts
+++ b/test/support/store.ts
@@ -1,7 +1,7 @@
 import { type Clock, sleep } from "../../src/clock.js";
 import { coreRecords } from "../../src/controller/records.js";
 import { NoAnswer } from "../../src/http/client.js";
-import { StateService as FakeState } from "../../src/local/state.js";
+import { StateService as FakeState, Malformed } from "../../src/local/state.js";
 import { Budget } from "../../src/state/budget.js";
 import {
   type Change,
@@ -11,6 +11,7 @@
   NoLease,
   type Page,
   Refused,
+  Rejected,
   type Row,
   type Store,
   type StoreLimits,
@@ -37,12 +38,14 @@
   loss = 0;
   /** A planted fault: see `Sabotage`. */
   emptyWatches = false;
+  /** What the service found fault with: 400. */
+  readonly rejected: string[] = [];
 
   constructor(
     readonly state: FakeState,
     readonly clock: Clock,
     readonly random: Random,
-    readonly limits: StoreLimits,
+    public limits: StoreLimits,
     readonly timeoutMs: number,
     /** What is on its way goes on while the controller stands still. */
     readonly way: Clock = clock,
@@ -117,7 +120,15 @@
       await sleep(this.clock, this.timeoutMs);
       throw new NoAnswer("answer lost");
     }
-    return this.#exchange(() => this.state.transact(when, then));
+    return this.#exchange(() => {
+      try {
+        return this.state.transact(when, then);
+      } catch (error) {
+        if (!(error instanceof Malformed)) throw error;
+        this.rejected.push(error.message);
+        throw new Rejected(error.message);
+      }
+    });
   }
 
   openLease(ttlMs: number): Promise<number> {
--- a/test/support/users.ts
+++ b/test/support/users.ts
@@ -25,6 +25,8 @@
   answeredAt: number;
   /** When its first task started. */
   beganAt: number | null;
+  /** Jobs that it awaits. */
+  awaits: string[];
 }
 
 type Wish = Partial<Job> & { team: string; tasks: number; rank?: string };
@@ -66,6 +68,7 @@
       submittedAt: this.world.clock.now(),
       answeredAt: this.world.clock.now(),
       beganAt: null,
+      awaits: (body.awaits as string[] | undefined) ?? [],
     };
     this.jobs.set(made.id, made);
     return made;
@@ -170,11 +173,49 @@
       if (job.toldCancelledAt !== null) world.broken("went_back", job.id);
       job.toldDone = true;
     } else if (status === "cancelled") {
-      if (!job.askedToCancel || job.toldDone) world.broken("went_back", job.id);
+      const asked = job.askedToCancel || this.#before(job, ({ askedToCancel }) => askedToCancel);
+      if (!asked || job.toldDone) world.broken("went_back", job.id);
       job.toldCancelledAt ??= world.clock.now();
     } else if (job.toldDone || job.toldCancelledAt !== null) {
       world.broken("went_back", `${job.id} is ${status} again`);
+    } else {
+      const since = this.#cancelledBefore(job);
+      if (since !== null && world.clock.now() - since > world.cancelMs) {
+        world.broken("orphaned", `${job.id} is ${status}, ${since} ms was its cancellation`);
+      }
+    }
+  }
+
+  /** Whether so much holds of a job that one needs, directly or through others. */
+  #before(job: Job, holds: (other: Job) => boolean): boolean {
+    return job.awaits.some((id) => {
+      const other = this.jobs.get(id);
+      return other !== undefined && (holds(other) || this.#before(other, holds));
+    });
+  }
+
+  /** When a user was told that a job before this one is cancelled, or null. */
+  #cancelledBefore(job: Job): number | null {
+    let since: number | null = null;
+    this.#before(job, ({ toldCancelledAt: at }) => {
+      if (at !== null) since = since === null ? at : Math.min(since, at);
+      return false;
+    });
+    return since;
+  }
+
+  /** A job that it needs and that is not done yet. */
+  undone(job: Job): Job | null {
+    for (const id of job.awaits) {
+      const other = this.jobs.get(id);
+      if (other !== undefined && other.done.size < other.tasks) return other;
     }
+    return null;
+  }
+
+  /** Whether it, or one before it, was to be cancelled: it may end either way. */
+  doomed(job: Job): boolean {
+    return job.askedToCancel || this.#before(job, ({ askedToCancel }) => askedToCancel);
   }
 
   /**
@@ -184,7 +225,7 @@
    */
   failings(): string[] {
     const wanted = [...this.jobs.values()].filter(
-      ({ accepted, askedToCancel, fails }) => accepted && !askedToCancel && !fails,
+      (job) => job.accepted && !this.doomed(job) && !job.fails,
     );
     const groups = new Map<string, Job[]>();
     const add = (group: string, job: Job): void => {
@@ -201,6 +242,8 @@
       const largest = sorted.slice(0, Math.max(1, Math.ceil(jobs.length * LARGEST)));
       groups.set(`largest of ${name}`, largest);
       for (const job of largest) {
+        // A job that awaits others begins when they let it; what that takes has no such bound.
+        if (job.awaits.length > 0) continue;
         const waited = (job.beganAt ?? Number.POSITIVE_INFINITY) - job.submittedAt;
         if (waited > LARGEST_MS) failed.push(`${job.id}, of the largest, began after ${waited} ms`);
       }
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -125,6 +125,7 @@
   onAnswer: (worker: Worker, node: number, token: number) => void = () => undefined;
   onStart: (worker: Worker, piece: string) => void = () => undefined;
   readonly leaseMs = 12_000;
+  readonly cancelMs = 36_000;
   readonly cloud: FakeCloud = new FakeCloud(this);
   startedTasks = 0;
   /** When the last start of each task began, and in which zone. */
@@ -428,6 +429,8 @@
     if (!job.accepted && !job.askedToCancel && !this.#known(job.id)) {
       this.broken("invented", piece);
     }
+    const undone = this.users.undone(job);
+    if (undone !== null) this.broken("too_early", `${piece} before ${undone.id} is done`);
     const wrong = this.judge(piece, on);
     if (wrong !== null) this.broken("wrong_place", `${piece} on ${on.id}: ${wrong}`);
     if (on.spot && !job.spot) this.broken("wrong_place", `${piece} on ${on.id}`);
@@ -454,7 +457,7 @@
         use.set(job.team, (use.get(job.team) ?? 0) + job.cpus);
         // A machine that hangs for longer than its lease drops its tasks before it goes on.
         const over = worker.hung && now - worker.leaseFrom > this.leaseMs;
-        if (!over && job.toldCancelledAt !== null && now - job.toldCancelledAt > 36_000) {
+        if (!over && job.toldCancelledAt !== null && now - job.toldCancelledAt > this.cancelMs) {
           this.broken("ran_cancelled", task.piece);
         }
       }
