--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -18,6 +18,8 @@
   status: JobStatus;
   done?: number;
   running?: number;
+  /** Jobs that it waits for, some of them if they are many. */
+  awaits?: string[];
 }
 
 /** What a user does: submit, show, watch and withdraw jobs, with the retries of PROTOCOL. */
--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -225,9 +225,11 @@
       this.#rented.delete(id);
     }
     // The cloud confirmed it: everything on these machines is gone. The parts' owners read it here.
-    const key = keys.gone(`${this.ctx.token}-${++this.#returns}`);
-    this.ctx.store.writes.force(1);
-    await this.#until(() => this.ctx.store.transact([], [{ put: key, value: names }]));
+    for (const some of portions(names, this.ctx.store.limits.valueBytes)) {
+      const key = keys.gone(`${this.ctx.token}-${++this.#returns}`);
+      this.ctx.store.writes.force(1);
+      await this.#until(() => this.ctx.store.transact([], [{ put: key, value: some }]));
+    }
   }
 
   /** Repeats what must be said; saying it twice does no harm. */
@@ -351,3 +353,19 @@
     );
   }
 }
+
+/** Names in lists that each fit a value, in order. */
+function portions(names: readonly string[], bytes: number): string[][] {
+  const lists: string[][] = [[]];
+  let size = 2;
+  for (const name of names) {
+    const more = Buffer.byteLength(JSON.stringify(name)) + 1;
+    if (size + more > bytes && lists.at(-1)!.length > 0) {
+      lists.push([]);
+      size = 2;
+    }
+    lists.at(-1)!.push(name);
+    size += more;
+  }
+  return lists;
+}
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -337,7 +337,10 @@
       }
       const counts =
         "past" in known ? { done: known.past.done, running: 0 } : this.#counts(id, known.header);
-      return { status: 200, body: statusBody(id, status, counts) };
+      // For people; the list may be long.
+      const left = status === "pending" ? this.pipelines.waitsFor(id).slice(0, 20) : [];
+      const more = left.length === 0 ? counts : { ...counts, awaits: left };
+      return { status: 200, body: statusBody(id, status, more) };
     } catch (error) {
       return this.#unavailable(error);
     }
--- a/src/diagnose/obstacles.ts
+++ b/src/diagnose/obstacles.ts
@@ -30,6 +30,7 @@
   | "restoring"
   | "being handed on"
   | "machine silent"
+  | "awaits others"
   | "held"
   | "matches nothing"
   | "failing"
@@ -77,6 +78,12 @@
   const say = (kind: Kind, detail: string) => ({ kind, detail });
   if (part.settling)
     return say("restoring", "nothing is placed before all records are vouched for");
+  const [first] = job.awaits ?? [];
+  if (first !== undefined) {
+    const others = job.awaits!.length > 1 ? ` and ${job.awaits!.length - 1} more` : "";
+    const due = job.dueS == null ? "" : `, due in ${job.dueS} s`;
+    return say("awaits others", `${first}${others}; done in ${job.expectedS} s by estimates${due}`);
+  }
   if (job.held !== null) return say("held", job.held);
   if (job.idle) return say("matches nothing", "its requirements are true on no machine there is");
   if (!job.fitsSome) return say("fits nowhere", `no type holds a task of ${job.cpus} CPUs`);
--- a/src/diagnose/words.ts
+++ b/src/diagnose/words.ts
@@ -21,6 +21,7 @@
   restoring: { removes: "records read, and each machine heard once", acts: "nobody" },
   "being handed on": { removes: "the next commit of both parts", acts: "nobody" },
   "machine silent": { removes: "its next report, or its deletion by the cloud", acts: "nobody" },
+  "awaits others": { removes: "the end of the jobs before it", acts: "nobody" },
   held: { removes: "release", acts: "its user" },
   "matches nothing": { removes: "other requirements, or other machines", acts: "its user" },
   failing: {
--- a/src/image/collect.ts
+++ b/src/image/collect.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../clock.js";
 import type { Event, Row, Store } from "../state/store.js";
+import { newestOnly } from "./newest.js";
 import { patiently } from "./patient.js";
 
 /** All keys as they were at one revision. */
@@ -92,7 +93,11 @@
       revision = Math.min(revision, seen);
     }
     if (walks.every(({ complete }) => complete)) {
-      return { revision, takenAt: Math.round(clock.wall()), rows: foldAll(walks, revision) };
+      return {
+        revision,
+        takenAt: Math.round(clock.wall()),
+        rows: newestOnly(foldAll(walks, revision)),
+      };
     }
   }
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -33,8 +33,9 @@
 
 function print(view: JobView, json: boolean | undefined): void {
   const counts = view.done === undefined ? "" : `  ${view.done} done, ${view.running ?? 0} running`;
+  const awaits = view.awaits === undefined ? "" : `  waits for ${view.awaits.join(", ")}`;
   process.stdout.write(
-    json ? `${JSON.stringify(view)}\n` : `${view.id}  ${view.status}${counts}\n`,
+    json ? `${JSON.stringify(view)}\n` : `${view.id}  ${view.status}${counts}${awaits}\n`,
   );
 }
 
@@ -179,15 +180,22 @@
   .option("--env <names...>", "variables of the environment that $ENV may read")
   .option("--time-zone <zone>", "for cron_*, such as Europe/Athens")
   .option("--name <name>", "the name of the hand-in: under one name, it is taken once")
-  .action(async (file: string, options: SubmitFileOptions) => {
-    const { node } = options;
+  .option("--await <ids...>", "jobs that have to be done before any task of this one starts")
+  .action(async (file: string, options: SubmitFileOptions & { await?: string[] }) => {
+    const { node, await: awaits } = options;
     if (!isJob(file)) {
+      if (awaits !== undefined) {
+        const why = "error: --await is for a job as JSON; a submit file has no place for it";
+        return program.error(why, { exitCode: USAGE });
+      }
       const { submitFile } = await import("./submit/index.js");
       return submitFile(file, options);
     }
     if (node === undefined)
       return program.error("error: give --node <host:port>", { exitCode: USAGE });
-    return ask({ ...options, node }, (jobs) => jobs.submit(readJob(file)));
+    const job = readJob(file);
+    const body = awaits === undefined ? job : { ...(job as object), awaits };
+    return ask({ ...options, node }, (jobs) => jobs.submit(body));
   });
 client("show", "show how far a job is")
   .argument("<id>")
--- a/src/membership/handover.ts
+++ b/src/membership/handover.ts
@@ -76,7 +76,13 @@
     // back to us at once, and we would have kept it, unreached by its machines, until the end.
     const value = presenceRecord(own);
     const show = { put: keys.node(this.held.node), value, lease: own.lease };
-    return this.transfer(transfers, [], [show], why);
+    // Small transactions: the rest follows, and whoever is cut off in between has given a part of it.
+    const most = this.held.store.limits.ops - 1;
+    for (let from = 0; from < transfers.length; from += most) {
+      const some = transfers.slice(from, from + most);
+      if (!(await this.transfer(some, [], [show], why))) return false;
+    }
+    return true;
   }
 
   /**
--- a/src/part/inspect.ts
+++ b/src/part/inspect.ts
@@ -43,7 +43,12 @@
   failures: number;
   /** Before that it is not tried again, from now. */
   pauseS: number;
-  /** Nothing of it may start now, by its expressions. */
+  /** Jobs that it waits for, some of them if they are many. Absent in what an older version says. */
+  awaits?: readonly string[];
+  /** When it and all before it are done by their estimates, and when it is due, from now. */
+  expectedS?: number;
+  dueS?: number | null;
+  /** Nothing of it may start now, by its expressions, or because it waits for others. */
   idle: boolean;
   held: string | null;
   /** Whether the part's slice of the limit holds one more of its tasks, and what it holds in all. */
@@ -168,6 +173,9 @@
       guaranteed: ctx.guaranteed().has(id),
       failures: job.failures,
       pauseS: seconds(Math.max(0, job.notBefore - now)),
+      awaits: ctx.pipelines.waitsFor(id).slice(0, 20),
+      expectedS: seconds(ctx.pipelines.expectedMs(id)),
+      dueS: Number.isFinite(job.due) ? seconds(job.due - ctx.clock.wall()) : null,
       idle: ctx.places.idle(id, spec),
       held: spec.match === undefined ? null : (matching?.held(id) ?? null),
       fitsQuota: spec.cpus <= left + 1e-6,
--- a/src/pipeline/graph.ts
+++ b/src/pipeline/graph.ts
@@ -138,6 +138,26 @@
     return [...(this.#nodes.get(id)?.left ?? [])];
   }
 
+  /** The longest way to the end of a job through those that it still awaits, by their estimates. */
+  expectedMs(id: string, estimateOf: (id: string) => number): number {
+    const known = new Map<string, number>();
+    const work = [id];
+    for (let next = work.at(-1); next !== undefined; next = work.at(-1)) {
+      const before = [...(this.#nodes.get(next)?.left ?? [])];
+      const ahead = before.filter((other) => !known.has(other));
+      // Marked before what comes first is done: a circle, which cannot be, would end here.
+      if (ahead.length > 0 && !known.has(next)) {
+        known.set(next, 0);
+        work.push(...ahead);
+        continue;
+      }
+      work.pop();
+      const first = Math.max(0, ...before.map((other) => known.get(other) ?? 0));
+      known.set(next, first + estimateOf(next));
+    }
+    return known.get(id) ?? 0;
+  }
+
   /** From when its times count, but for its own deadline. */
   since(id: string, at: number): number {
     return this.#nodes.get(id)?.since ?? at;
--- a/src/pipeline/index.ts
+++ b/src/pipeline/index.ts
@@ -58,6 +58,15 @@
     return this.#graph.waitsFor(id);
   }
 
+  /** How long it takes until a job is done, by the estimates on the longest way to it, milliseconds. */
+  expectedMs(id: string): number {
+    return this.#graph.expectedMs(id, (other) => {
+      const row = this.mirror.rows.get(keys.job(other));
+      const spec = row !== undefined && isHeader(row.value) ? row.value.spec : undefined;
+      return (spec?.estimateS ?? 0) * 1000;
+    });
+  }
+
   /** From when the times of its class count: acceptance, or the end of the last job that it awaited. */
   since(id: string, at: number): number {
     return this.#graph.since(id, at);
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -167,7 +167,7 @@
 export function statusBody(
   id: string,
   status: JobStatus,
-  counts?: { done: number; running: number },
+  counts?: { done: number; running: number; awaits?: readonly string[] },
 ): object {
   return counts === undefined ? { uid: id, status } : { uid: id, status, ...counts };
 }
@@ -184,14 +184,15 @@
 
 export function parseStatus(
   body: unknown,
-): { id: string; status: JobStatus; done?: number; running?: number } | null {
+): { id: string; status: JobStatus; done?: number; running?: number; awaits?: string[] } | null {
   if (!isMap(body) || typeof body.uid !== "string") return null;
   if (typeof body.status !== "string" || !STATUSES.includes(body.status)) return null;
-  const { uid: id, done, running } = body;
+  const { uid: id, done, running, awaits } = body;
   return {
     id,
     status: body.status as JobStatus,
     ...(typeof done === "number" ? { done } : {}),
     ...(typeof running === "number" ? { running } : {}),
+    ...(Array.isArray(awaits) ? { awaits: awaits.filter((one) => typeof one === "string") } : {}),
   };
 }
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { newestOnly } from "../src/image/newest.js";
 import { parseSettings, SettingsError } from "../src/settings/settings.js";
 import { type StoreLimits, storeLimits } from "../src/state/store.js";
 import { fault } from "./support/faults.js";
@@ -117,3 +118,23 @@
   const { params } = settingsFor(0, 3, TEAMS);
   assert.equal(storeLimits(params.state).valueBytes, params.state.value_kb * 1024);
 });
+
+test("limits: an image has one record of each chunk, the newest, whole", () => {
+  const page = (version: number, c: object) => ({ value: { m: ["a", "b"], c }, version });
+  const rows = newestOnly(
+    new Map<string, { value: unknown; version: number }>([
+      ["c/0/p/0", page(5, { "wk-1/0": [2, "", "0.1.0,1.2.0"], "wk-2/0": [1, "", "0.1.1"] })],
+      ["c/0/p/900", page(9, { "wk-1/0": [3, "0", "1.2.0"] })],
+      ["c/0/p/901", page(9, { "wk-1/0": [3, "", "2.3.1"] })],
+      ["c/1/p/0", page(4, { "wk-1/0": [7, "", ""] })],
+      ["c/0/fence", { value: "5.1", version: 9 }],
+    ]),
+  );
+  const states = [...rows].map(([key, { value }]) => [key, (value as { c?: object }).c ?? null]);
+  assert.deepEqual(Object.fromEntries(states), {
+    "c/0/p/0": { "wk-2/0": [1, "", "0.1.0"] },
+    "c/0/p/900": { "wk-1/0": [3, "0", "1.2.0,2.3.1"] },
+    "c/1/p/0": { "wk-1/0": [7, "", ""] },
+    "c/0/fence": null,
+  });
+});
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -11,6 +11,7 @@
 import { FakeCloud } from "./cloud.js";
 import { bodyOf, quiet } from "./common.js";
 import { NodeClock } from "./node-clock.js";
+import type { Program } from "./production.js";
 import { Random } from "./random.js";
 import { FakeState, FakeStore } from "./store.js";
 import { type Job, Users } from "./users.js";
@@ -145,6 +146,8 @@
     /** What the operators have set for a controller; it may differ, as in a change of versions. */
     public operators: (node: number) => Partial<Operators> = () => ({}),
     writeRps?: number,
+    /** Which version of the program a controller runs from its next start on; null: this one. */
+    public programs: (node: number) => Program | null = () => null,
   ) {
     this.random = new Random(seed);
     const { params } = settingsFor(0, nodes, teams, zones);
@@ -216,8 +219,9 @@
         this.clocks[other]!.after(0, () => this.controllers[other]?.hear(heard, `n${n}`));
       });
     };
+    const program = this.programs(n);
     const links: Links = {
-      store: this.stores[n]!,
+      store: program === null ? this.stores[n]! : program.store(this.stores[n]!),
       cloud: { call: (method, path, body) => this.cloud.call(method, path, body) },
       order: (address, body) => {
         const held = this.orderMs > 0 ? this.random.int(0, this.orderMs) : 0;
@@ -234,7 +238,8 @@
       },
       send: (to, frame) => hears(Number(to.slice(1)), frame),
     };
-    const controller: Controller = new Controller({
+    const Made = program?.Controller ?? Controller;
+    const controller: Controller = new Made({
       settings,
       ...this.operators(n),
       log: {
