--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -12,7 +12,7 @@
 import { isSummary, Summaries, type Summary } from "../part/summary.js";
 import type { Frame } from "../peer/frames.js";
 import { Pipelines } from "../pipeline/index.js";
-import { limitsOf, teamFaults } from "../quota/limits.js";
+import { guaranteesOf, limitsOf, teamFaults } from "../quota/limits.js";
 import { clusterOf, type Settings } from "../settings/settings.js";
 import { defaultTuning, type Tuning } from "../settings/tuning.js";
 import { keys } from "../state/keys.js";
@@ -93,9 +93,7 @@
     this.#metrics = new Metrics(clock, params.workers.lease_s * 1000, () =>
       this.#history.figures(),
     );
-    this.#guarantees = new Map(
-      params.teams.map((team) => [team.name, { cpus: team.cpus, gpus: team.gpus }]),
-    );
+    this.#guarantees = guaranteesOf(params.teams);
     this.#limits = limitsOf(params.teams);
     this.#attached = (extensions ?? []).map((extension) => extension.attach(core));
     this.#rules = this.#attached.find(({ rules }) => rules !== undefined)?.rules ?? null;
@@ -107,9 +105,11 @@
       this.#attached.find(({ matching }) => matching !== undefined)?.matching ?? null,
       (id) => this.#pipelines.waits(id),
     );
-    const most = new Map(this.#limits);
-    for (const { teams } of extensions ?? [])
-      for (const team of teams) most.set(team.name, team.most);
+    const guests = (extensions ?? []).flatMap(({ teams }) => teams);
+    const most = new Map([
+      ...this.#limits,
+      ...guests.map((team) => [team.name, team.most] as const),
+    ]);
     this.#standing = new Standing(
       this.#guarantees,
       targetsOf(params.objectives),
@@ -138,8 +138,7 @@
       (id) => [...parts.values()].some(({ jobs }) => jobs.has(id)),
       (id) => this.#attached.some(({ wants }) => wants?.(id) === true),
     );
-    const minuteMs = 60_000;
-    this.#refusals = new Refusals(most, clock, log, this.#metrics, minuteMs);
+    this.#refusals = new Refusals(most, clock, log, this.#metrics, 60_000);
     this.#users = new Users(
       core,
       most,
@@ -203,9 +202,7 @@
     });
     mirror.on(keys.node(""), () => {
       // Survivors may use what the others do not.
-      let serving = 0;
-      for (const { name } of layout.members) if (mirror.rows.has(keys.node(name))) serving++;
-      store.divide(serving);
+      store.divide(layout.members.filter(({ name }) => mirror.rows.has(keys.node(name))).length);
     });
     mirror.on("w/s/", ({ key, value }) => {
       if (isSummary(value)) this.#hear(Number(key.slice(4)), value);
--- a/src/quota/limits.ts
+++ b/src/quota/limits.ts
@@ -19,6 +19,10 @@
 ): Map<string, Amounts> =>
   new Map(teams.map(({ name, cpus_max, gpus_max }) => [name, { cpus: cpus_max, gpus: gpus_max }]));
 
+export const guaranteesOf = (
+  teams: readonly { name: string; cpus: number; gpus: number }[],
+): Map<string, Amounts> => new Map(teams.map(({ name, cpus, gpus }) => [name, { cpus, gpus }]));
+
 /** For people and for bodies: infinity has no form in JSON. */
 export const shownLimit = ({ cpus, gpus }: Amounts): Record<keyof Amounts, number | null> => ({
   cpus: bounded(cpus) ? cpus : null,
