--- a/test/pipeline.test.ts
+++ b/test/pipeline.test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { type Fate, Graph } from "../src/pipeline/index.js";
-import { parseSubmission } from "../src/wire/jobs.js";
+import { type Fate, Graph, placedSpec, storedSpec } from "../src/pipeline/index.js";
+import { BY_REQUIREMENTS, parseSubmission } from "../src/wire/jobs.js";
+import { allowed } from "../src/workers/machine.js";
 import { fault } from "./support/faults.js";
 import { Random } from "./support/random.js";
 import { TEAMS, wrongs } from "./support/troubled.js";
@@ -218,6 +219,19 @@
   });
 }
 
+for (const builds of [null, ["m4"]]) {
+  test(`pipeline: as it is kept, a program from before starts it nowhere (types ${JSON.stringify(builds)})`, () => {
+    const parsed = parseSubmission({ ...body, builds, awaits: ["wk-2"] });
+    assert.ok(parsed.ok);
+    const kept = JSON.parse(JSON.stringify(storedSpec(parsed.value.spec)));
+    const machine = { type: "m4", zone: "a", spot: true };
+    assert.equal(allowed(kept, machine), false);
+    assert.deepEqual(kept.types, [BY_REQUIREMENTS]);
+    assert.equal(allowed(placedSpec(kept), machine), true);
+    assert.deepEqual(placedSpec(kept).types, builds);
+  });
+}
+
 /** Pipelines in a world with faults; users submit each job as soon as those before it are accepted. */
 async function pipelineDay(seed: number, troubled: boolean): Promise<World> {
   const world = new World(seed, 3, TEAMS, 8, {}, ["a"], undefined, 60);
