--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -414,6 +414,107 @@
   });
 }
 
+/** Follows us, with nothing on it, for as long as it takes to place what is not placed. */
+const heard = async (bench: Bench, machine: string, tasks: Report["tasks"] = []): Promise<void> => {
+  await bench.report(machine, { token: 1, tasks });
+  for (const seq of [2, 3, 4]) {
+    await bench.report(machine, { seq, tasks });
+    await bench.clock.run(1000);
+  }
+};
+
+test("records: of a chunk in two pages the newer counts, and what was written at once is one state", async () => {
+  const bench = new Bench();
+  const many = { ...spec, tasks: 3 };
+  bench.put({ put: "w/j/wk-000001", value: header({ spec: many, tasks: 3, chunkSize: 3 }) });
+  // It was in a page that cannot be written any more, and went on in two others.
+  bench.put({
+    put: "c/0/p/0",
+    value: { m: ["old"], c: { "wk-000001/0": [3, "", "0.1.0,1.2.0,2.3.0"] } },
+  });
+  bench.put(
+    { put: "c/0/p/900", value: { m: ["b"], c: { "wk-000001/0": [7, "0", "1.6.0"] } } },
+    { put: "c/0/p/901", value: { m: ["c"], c: { "wk-000001/0": [7, "", "2.7.0"] } } },
+  );
+  await bench.takeOver();
+  const on = (task: number, attempt: number) => [
+    { task: `wk-000001/${task}`, attempt, state: "running" as const, why: "" },
+  ];
+  await heard(bench, "b", on(1, 6));
+  await heard(bench, "c", on(2, 7));
+  await heard(bench, "old");
+  const [job] = bench.part.inspect({ id: "wk-000001" }).jobs;
+  assert.deepEqual([job?.done, job?.placed, job?.running, job?.pending], [1, 2, 2, 0]);
+  // Its end goes into the pages that it is in, and in the end all of them are gone.
+  await bench.report("b", {
+    seq: 9,
+    tasks: on(1, 6).map((one) => ({ ...one, state: "exited", why: "done" })),
+  });
+  await bench.clock.run(1000);
+  await bench.report("c", {
+    seq: 9,
+    tasks: on(2, 7).map((one) => ({ ...one, state: "exited", why: "done" })),
+  });
+  await bench.clock.run(3000);
+  const value = bench.state.rows.get("w/j/wk-000001")?.value as { status: string };
+  assert.equal(value.status, "done");
+});
+
+// A page of an earlier version, larger than values may be now, in transactions of few changes.
+for (const ops of [4, 8]) {
+  test(`records: a page too large to be written, ${ops} changes: its jobs end, and it goes`, async () => {
+    const limits = { ...LIMITS, valueBytes: 1024, ops, conditions: 4 * ops };
+    const bench = new Bench(limits);
+    bench.state.limits = LIMITS;
+    const c: Record<string, unknown> = {};
+    const tasks: Report["tasks"][number][] = [];
+    for (let n = 10; n < 40; n++) {
+      const id = `wk-0000${n}`;
+      bench.put({ put: `w/j/${id}`, value: header({ spec: { ...spec, cpus: 0.1 } }) });
+      c[`${id}/0`] = [3, "", "0.3.0"];
+      tasks.push({ task: `${id}/0`, attempt: 3, state: "running", why: "" });
+    }
+    // One that alone is larger than a value: its machines have long names.
+    const names = Array.from({ length: 10 }, (_, i) => `machine-${"x".repeat(110)}-${i}`);
+    bench.put({
+      put: "w/j/wk-000050",
+      value: header({ spec: { ...spec, cpus: 0.1, tasks: 10 }, tasks: 10, chunkSize: 10 }),
+    });
+    c["wk-000050/0"] = [10, "", names.map((_, i) => `${i}.${i + 1}.${i + 1}`).join()];
+    bench.put({ put: "c/0/p/0", value: { m: ["old", ...names], c } });
+    bench.state.limits = limits;
+    await bench.takeOver();
+    const done = (list: typeof tasks) =>
+      list.map((one) => ({ ...one, state: "exited" as const, why: "done" }));
+    await bench.report("old", { token: 1, tasks });
+    await bench.report("old", { seq: 2, tasks });
+    for (const [i, name] of names.entries()) {
+      const own = [{ task: `wk-000050/${i}`, attempt: i + 1, state: "running" as const, why: "" }];
+      await bench.report(name, { token: 1, tasks: own });
+      await bench.report(name, { seq: 2, tasks: i === 0 ? done(own) : own });
+    }
+    await bench.clock.run(3000);
+    await bench.report("old", { seq: 3, tasks: done(tasks) });
+    for (const [i, name] of names.entries()) {
+      const own = [{ task: `wk-000050/${i}`, attempt: i + 1, state: "running" as const, why: "" }];
+      await bench.report(name, { seq: 3, tasks: done(own) });
+    }
+    await bench.clock.run(60_000);
+    const open = [...bench.state.rows].filter(([key, { value }]) => {
+      return key.startsWith("w/j/") && (value as { status: string }).status !== "done";
+    });
+    assert.deepEqual(
+      open.map(([key]) => key),
+      [],
+    );
+    assert.deepEqual(
+      [...bench.state.rows.keys()].filter((key) => key.startsWith("c/0/p/")),
+      [],
+    );
+    assert.deepEqual(bench.store.rejected, []);
+  });
+}
+
 test("an end is in the store before the worker may forget it", async () => {
   const bench = new Bench();
   bench.put({ put: "w/j/wk-000001", value: header() });
