--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -158,7 +158,8 @@
       health: () => this.#health(),
       metrics: () => this.#showMetrics(),
       status: () => this.status(),
-      drain: (body) => this.#drain(body),
+      node: settings.node_name,
+      drain: (on) => this.drain(on),
       report: (body) => this.#owners.report(body),
     });
     this.#membership = new Membership(
@@ -376,13 +377,6 @@
     return retryLater(503, "not ready");
   }
 
-  async #drain(body: unknown): Promise<Reply> {
-    const on = (body as { on?: unknown } | null | undefined)?.on;
-    if (typeof on !== "boolean") return { status: 400, body: { error: "on: true or false" } };
-    await this.drain(on);
-    return { status: 200, body: { node: this.#settings.node_name, drained: on } };
-  }
-
   async #showMetrics(): Promise<Reply> {
     const text = await this.#metrics.text();
     if (text === null) return retryLater(503, "not loaded yet", 5);
--- a/src/controller/routes.ts
+++ b/src/controller/routes.ts
@@ -12,10 +12,18 @@
   health(): Reply;
   metrics(): Promise<Reply>;
   status(): object;
-  drain(body: unknown): Promise<Reply>;
+  node: string;
+  drain(on: boolean): Promise<void>;
   report(body: unknown): Reply | Promise<Reply>;
 }
 
+async function drained(body: unknown, { node, drain }: Answers): Promise<Reply> {
+  const on = (body as { on?: unknown } | null | undefined)?.on;
+  if (typeof on !== "boolean") return { status: 400, body: { error: "on: true or false" } };
+  await drain(on);
+  return { status: 200, body: { node, drained: on } };
+}
+
 /** PROTOCOL's paths first, then those of operators, then those of packages. */
 export function routerOf(answers: Answers): Router {
   const { users, attached } = answers;
@@ -23,7 +31,7 @@
     ["/healthz", [{ method: "GET", run: () => answers.health() }]],
     ["/metrics", [{ method: "GET", run: () => answers.metrics() }]],
     [statusPath, [{ method: "GET", run: () => ({ status: 200, body: answers.status() }) }]],
-    [drainPath, [{ method: "POST", run: ({ body }) => answers.drain(body) }]],
+    [drainPath, [{ method: "POST", run: ({ body }) => drained(body, answers) }]],
     ["/checkin", [{ method: "POST", run: ({ body }) => answers.report(body) }]],
     ["/api/jobs", [{ method: "POST", run: ({ body }) => users.submit(body) }]],
   ]);
--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -1,3 +1,4 @@
+import { sleep } from "../clock.js";
 import { type Attachment, type Core, spoken } from "../extension/index.js";
 import { type Amounts, within } from "../fair/share.js";
 import { type Reply, retryLater } from "../http/server.js";
@@ -18,7 +19,7 @@
 import { Budget } from "../state/budget.js";
 import { keys } from "../state/keys.js";
 import { restoredOf } from "../state/restored.js";
-import { Refused } from "../state/store.js";
+import { Busy, Refused } from "../state/store.js";
 import { Turns } from "../state/turns.js";
 import {
   isJobId,
@@ -213,9 +214,8 @@
       const turn = this.#turn(header.spec!.team);
       if (turn !== null) return turn;
       const mark = mirror.mark();
-      const result = await store.transact(
-        [{ key, version: 0 }, ...guard.when],
-        [{ put: key, value: header }],
+      const result = await this.#patiently(() =>
+        store.transact([{ key, version: 0 }, ...guard.when], [{ put: key, value: header }]),
       );
       if (result.ok) {
         log.debug({ job: id, owners: header.owners }, "job accepted");
@@ -230,6 +230,17 @@
     return retryLater(503, "try again");
   }
 
+  /** Once more after a moment, where the state service had too much to do: sent away, a user comes back a second later. */
+  async #patiently<T>(run: () => Promise<T>): Promise<T> {
+    try {
+      return await run();
+    } catch (error) {
+      if (!(error instanceof Busy)) throw error;
+      await sleep(this.core.clock, this.core.settings.params.workers.report_s * 50);
+      return run();
+    }
+  }
+
   /**
    * Takes one change for a submission, or says when to come back. Submissions come before placing and
    * ending, which can wait and then hold more each: those of teams with a guarantee up to a debt of a
--- a/src/part/collecting.ts
+++ b/src/part/collecting.ts
@@ -70,7 +70,19 @@
     // What is kept for a page that has to be divided, where transactions are not small.
     const spare = Math.min(2, Math.floor(ops / 6));
     // Slices change often: in a small transaction they come every second time.
-    const slicesMost = ops >= 12 ? Number.POSITIVE_INFINITY : this.#looks++ % 2;
+    const small = ops < 12;
+    const turn = this.#looks++ % 2;
+    const slicesMost = small ? turn : Number.POSITIVE_INFINITY;
+    // Little fits such a transaction: what is within a guarantee and waits to be started comes first
+    // every other time, ends of chunks the time between. One after the other neither waits for long.
+    const guaranteed = small ? this.ctx.guaranteed() : new Set<string>();
+    const urgent = (chunk: Chunk): boolean => {
+      if (!guaranteed.has(chunk.job)) return false;
+      for (const live of chunk.live.values()) if (live.version > chunk.saved) return true;
+      return false;
+    };
+    const pressing = new Set<number>();
+    let presses = false;
     const fenceKey = keys.fence(index);
     const batch: Batch = {
       when: [
@@ -124,6 +136,10 @@
     const fresh: Chunk[] = [];
     const leaving: { job: Job; chunk: Chunk }[] = [];
     const toSave = (chunk: Chunk): void => {
+      if (small && urgent(chunk)) {
+        presses = true;
+        if (chunk.page !== null) pressing.add(chunk.page);
+      }
       if (chunk.page === null || kept.isStuck(chunk.page)) fresh.push(chunk);
       else dirty.add(chunk.page);
     };
@@ -155,6 +171,9 @@
     /** Pages that a chunk leaves: they are written first, for it must not stay behind in one. */
     const leftPages = new Set<number>();
     let leftBytes = 0;
+    if (small && turn === 1 && presses) {
+      for (const { chunk } of leaving.splice(0)) if (chunk.saved < chunk.version) toSave(chunk);
+    }
     for (const { job, chunk } of leaving) {
       const { movingTo } = chunk;
       const takesAlong = movingTo !== null && chunk.attempts > 0;
@@ -245,6 +264,7 @@
     const staying = (number: number): Chunk[] =>
       pages.get(number)!.filter((chunk) => !left.has(chunk));
     let takenIn = 0;
+    if (small) fresh.sort((a, b) => Number(urgent(b)) - Number(urgent(a)));
     for (const chunk of fresh) {
       // What it brought along is removed in the same transaction, one change for each chunk: when
       // many came at once, transactions had too many changes, and none went through any more.
@@ -281,7 +301,17 @@
       pages.get(number)!.push(chunk);
       dirty.add(number);
     }
-    for (const number of new Set([...leftPages, ...dirty])) {
+    const order = [...dirty];
+    if (small) {
+      // Then those that were written longest ago: else the first ones would be written again and again.
+      const rank = (n: number): number =>
+        pressing.has(n) ? Number.NEGATIVE_INFINITY : (kept.versions.get(n) ?? 0);
+      order.sort((a, b) => {
+        const [x, y] = [rank(a), rank(b)];
+        return x === y ? 0 : x - y;
+      });
+    }
+    for (const number of new Set([...leftPages, ...order])) {
       if (kept.waits(number)) {
         if (leave && leftPages.has(number)) return this.collect(false);
         continue;
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -8,6 +8,8 @@
 
 /** Certainly not executed: an outage, or over a rate limit. */
 export class Refused extends Error {}
+/** Over the rate that the service allows for all together. */
+export class Busy extends Refused {}
 /** Not executed and never will be: the service finds fault with it. */
 export class Rejected extends Refused {}
 /** Not sent: one of its records could not be read back (`Writable`). */
@@ -124,7 +126,8 @@
     else if (!this.#requests.take(1, this.#requests.burst / 10))
       throw new Refused("own rate limit");
     const answer = await this.http.call(method, path, body, timeoutMs);
-    if (answer.status === 503 || answer.status === 429) throw new Refused(String(answer.status));
+    if (answer.status === 429) throw new Busy("429");
+    if (answer.status === 503) throw new Refused("503");
     return answer;
   }
 
