--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -237,6 +237,7 @@
     } catch (error) {
       if (!(error instanceof Busy)) throw error;
       await sleep(this.core.clock, this.core.settings.params.workers.report_s * 50);
+      this.core.store.writes.force(1);
       return run();
     }
   }
@@ -384,7 +385,7 @@
           return { status: 200, body: statusBody(id, known.header.status) };
         }
         store.writes.force(2);
-        if (await cancelOnce(store, mirror, id, known)) {
+        if (await this.#patiently(() => cancelOnce(store, mirror, id, known))) {
           log.info({ job: id }, "job cancelled");
           return { status: 200, body: statusBody(id, "cancelled") };
         }
