--- a/src/controller/users.ts
+++ b/src/controller/users.ts
@@ -12,6 +12,7 @@
   shownStatus,
   undivided,
 } from "../jobs/header.js";
+import { sizeOf } from "../jobs/page.js";
 import type { Past } from "../jobs/past.js";
 import type { Part } from "../part/part.js";
 import { roomOf } from "../part/summary.js";
@@ -30,6 +31,7 @@
 } from "../wire/jobs.js";
 import { typeFits } from "../workers/machine.js";
 import type { Places } from "../workers/places.js";
+import { awaitedBy } from "./awaited.js";
 import type { History } from "./history.js";
 import type { Never, Refusals } from "./refusals.js";
 
@@ -140,6 +142,14 @@
     return { header: row.value, version: row.version };
   }
 
+  /** For questions to which any header is an answer: it needs to be no newer than it is. */
+  async #look(id: string): Promise<Found | null> {
+    const row = this.core.mirror.rows.get(keys.job(id));
+    if (row !== undefined && isHeader(row.value))
+      return { header: row.value, version: row.version };
+    return this.#current(id);
+  }
+
   #unavailable(error: unknown): Reply {
     this.core.log.debug({ why: String(error) }, "store not available");
     return retryLater(503, "state service not available", error instanceof Refused ? 2 : 1);
@@ -165,9 +175,16 @@
         } else {
           const notNow = this.#notNow(spec);
           if (notNow !== null && (await this.#current(id)) === null) return retryLater(503, notNow);
-          const refused = spec.after === undefined ? null : await this.#before(id, spec.after.jobs);
-          if (refused !== null) return refused;
-          const taken = await this.#take(id, this.#newHeader(spec));
+          const after =
+            spec.after === undefined
+              ? null
+              : await awaitedBy(id, spec.after.jobs, (one) => this.#look(one));
+          if (after !== null && "status" in after) return after;
+          const header = this.#newHeader(after === null ? spec : { ...spec, after });
+          if (sizeOf(header) > this.core.store.limits.valueBytes) {
+            return retryLater(503, "more jobs are awaited that are not over than a record holds");
+          }
+          const taken = await this.#take(id, header);
           if (taken !== null) return taken;
         }
       }
@@ -179,25 +196,6 @@
     }
   }
 
-  /**
-   * Why a job may not await those that it names, or null. Only one that was never accepted anywhere
-   * is a reason, which a request of its own or the archive has to say; and a service, which never ends.
-   * @throws Refused while that cannot be said
-   */
-  async #before(id: string, awaited: readonly string[]): Promise<Reply | null> {
-    for (const other of awaited) {
-      const header = this.#known(other);
-      const found = header !== null ? { header } : await this.#current(other);
-      const service = found !== null && "header" in found && found.header.spec?.kind === "service";
-      if (found !== null && !service) continue;
-      // Only a job that was never accepted itself may be refused.
-      if ((await this.#current(id)) !== null) return null;
-      const reason = service ? "is a service, which never ends" : "was never accepted";
-      return { status: 422, body: { error: `awaits ${other}, which ${reason}` } };
-    }
-    return null;
-  }
-
   /**
    * Accepts a job that nobody has a header of, unless it is in the archive: retried long after it
    * was over, or applied late, a submission must not give it a second life. Null when it turns out
--- a/src/pipeline/awaiting.ts
+++ b/src/pipeline/awaiting.ts
@@ -8,7 +8,7 @@
 export function storedSpec(spec: JobSpec): JobSpec {
   const { after } = spec;
   if (after === undefined) return spec;
-  return { ...spec, types: [BY_REQUIREMENTS], after: { jobs: after.jobs, types: spec.types } };
+  return { ...spec, types: [BY_REQUIREMENTS], after: { ...after, types: spec.types } };
 }
 
 /** A job's specification as it is placed by; a copy, since priorities flow back to it. */
--- a/src/pipeline/graph.ts
+++ b/src/pipeline/graph.ts
@@ -1,6 +1,7 @@
 /** What a job that awaits others says of itself; times are milliseconds of the time of day. */
 export interface Stage {
   awaits: readonly string[];
+  /** When it was accepted, or the last that it named was done if that was later and is known. */
   at: number;
   rank: number;
   /** When it is due by its own deadline; infinity without one. */
--- a/src/pipeline/index.ts
+++ b/src/pipeline/index.ts
@@ -95,10 +95,11 @@
       graph.open(id);
       return;
     }
-    const { jobs: awaits } = spec.after;
+    const { jobs: awaits, since = at } = spec.after;
     const due = spec.deadlineS === null ? Number.POSITIVE_INFINITY : at + spec.deadlineS * 1000;
     const { rank, estimateS } = spec;
-    graph.add(id, { awaits, at, rank, due, estimateMs: estimateS * 1000 });
+    const from = Math.max(at, since);
+    graph.add(id, { awaits, at: from, rank, due, estimateMs: estimateS * 1000 });
     for (const awaited of graph.waitsFor(id)) {
       if (!graph.unknown.has(awaited)) continue;
       const row = this.mirror.rows.get(keys.job(awaited));
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -43,6 +43,8 @@
 
 export interface After {
   jobs: string[];
+  /** When the last of those that were done already was, milliseconds of the time of day. */
+  since?: number;
   /** In the store: the machine types that the job allows, `types` being one that no machine has. */
   types?: string[] | null;
 }
--- a/test/pipeline.test.ts
+++ b/test/pipeline.test.ts
@@ -321,7 +321,28 @@
     // Accepted once, it is known whatever else is said.
     assert.equal((await post(0, { uid, awaits: ["wk-9"] }))?.status, 200);
   }
+  // What is done has no place in the record; a list of thousands of such is none.
+  const over = Array.from({ length: 4000 }, (_, n) => `wk-9${String(n).padStart(5, "0")}`);
+  for (const id of over) {
+    const value = {
+      status: "done",
+      owners: "",
+      chunkSize: 1,
+      at: 1,
+      started: true,
+      moves: 0,
+      tasks: 1,
+      over: 7,
+    };
+    world.state.transact([], [{ put: `w/j/${id}`, value }]);
+  }
+  await world.clock.run(3000);
+  assert.equal((await post(1, { uid: "wk-90", awaits: [...over, "wk-1"] }))?.status, 201);
+  const kept = world.state.rows.get("w/j/wk-90")!.value as { spec: { after: object } };
+  assert.deepEqual(kept.spec.after, { jobs: ["wk-1"], since: 7, types: null });
+  assert.equal((await status(1, "wk-90")).status, "pending");
   await world.clock.within(world.ask(1, "POST", "/api/jobs/wk-1/withdraw", {}));
+  assert.equal((await status(2, "wk-90")).status, "cancelled");
   assert.equal((await status(2, "wk-80")).status, "cancelled");
   world.stop();
 });
