--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -7,7 +7,7 @@
 import { NoLease, type Store } from "../state/store.js";
 import { type Claim, Handover, isClaim } from "./handover.js";
 import type { Layout } from "./layout.js";
-import { type Presence, parsePresence, presenceRecord } from "./presence.js";
+import { isSaid, type Presence, presenceRecord } from "./presence.js";
 import { Standings } from "./standing.js";
 import { type Candidate, succession, type Vacancy } from "./succession.js";
 
@@ -31,7 +31,6 @@
   readonly ttlMs: number;
   #lease: number | string | null = null;
   #validUntil = Number.NEGATIVE_INFINITY;
-  #present = false;
   #startedAt: number;
   /** When this process last showed that it runs, and when it last woke after it had not. */
   #beatAt: number;
@@ -42,7 +41,6 @@
   readonly handover: Handover;
   readonly #offered = new Map<string, number>();
   #shyUntil = Number.NEGATIVE_INFINITY;
-  #shownShy = false;
   #drained = false;
   #stopped = false;
   #wakeClaims: () => void = () => undefined;
@@ -156,10 +154,7 @@
   async #leave(parts: number[], why: string): Promise<void> {
     const lead = this.leaderStamp !== null;
     const given = await this.handover.handOver(parts, lead, why).catch(() => false);
-    if (given) {
-      this.#shownShy = this.#shy();
-      return;
-    }
+    if (given) return;
     // All of it at once, whatever becomes of the claims.
     if (this.leaderStamp !== null) {
       this.leaderStamp = null;
@@ -207,7 +202,6 @@
     const sentAt = this.clock.now();
     if (this.#lease === null) {
       this.#lease = await this.store.openLease(this.ttlMs);
-      this.#present = false;
     } else {
       try {
         await this.store.renewLease(this.#lease, this.ttlMs / 2);
@@ -227,33 +221,13 @@
 
   /** Tells the others that we are here. They hand our parts back then: so not before we can read. */
   async #show(): Promise<void> {
-    const shy = this.#shy();
-    if (this.#lease === null || !this.mirror.ready) return;
-    if (this.#present && shy === this.#shownShy && this.#shown()) return;
+    const own = this.#own();
+    if (own === null || !this.mirror.ready) return;
     const key = keys.node(this.node);
-    const value = presenceRecord(this.#own()!);
-    const { ok, revision } = await this.store.transact(
-      [],
-      [{ put: key, value, lease: this.#lease }],
-    );
-    if (ok) this.mirror.apply({ key, value, version: revision, deleted: false });
-    this.#present = true;
-    this.#shownShy = shy;
-  }
-
-  /**
-   * Whether what the others see of us is what we said last. An earlier word without an answer may be
-   * applied after a later one: of this run, or of the one before, and that one goes with its lease.
-   * Then nobody gave us a part any more.
-   */
-  #shown(): boolean {
-    const seen = parsePresence(this.mirror.rows.get(keys.node(this.node))?.value);
-    return (
-      seen !== null &&
-      seen.run === this.run &&
-      seen.lease === this.#lease &&
-      seen.shy === this.#shownShy
-    );
+    if (isSaid(this.mirror.rows.get(key)?.value, own)) return;
+    const value = presenceRecord(own);
+    const { revision } = await this.store.transact([], [{ put: key, value, lease: own.lease! }]);
+    this.mirror.apply({ key, value, version: revision, deleted: false });
   }
 
   #shy(): boolean {
@@ -301,7 +275,7 @@
     if (now - this.mirror.contactAt > this.ttlMs) return;
     // Records are being put there by a restore: what is missing yet would look as if it had never been.
     if (restoredOf(this.mirror).state === "filling") return;
-    if (!this.#present) await this.#show();
+    await this.#show();
     await this.#finishRelease();
     const vacancies: Vacancy[] = [];
     const leader = leaderKey(this.mirror);
--- a/src/membership/presence.ts
+++ b/src/membership/presence.ts
@@ -49,3 +49,13 @@
   ...(lease === null ? {} : { lease }),
   ...(speaks.length === 0 ? {} : { speaks }),
 });
+
+/**
+ * Whether what the others see of a controller is what it said last. An earlier word without an answer may be
+ * applied after a later one: of this run, or of the one before, and that one goes with its lease.
+ * Then nobody gave it a part any more.
+ */
+export function isSaid(value: unknown, { run, lease, shy }: Presence): boolean {
+  const seen = parsePresence(value);
+  return seen !== null && seen.run === run && seen.lease === lease && seen.shy === shy;
+}
--- a/src/part/part.ts
+++ b/src/part/part.ts
@@ -1,7 +1,6 @@
 import { Actor } from "../actor.js";
 import { sleep } from "../clock.js";
 import type { Reply } from "../http/server.js";
-import type { ChunkState } from "../jobs/chunk.js";
 import { type Header, isHeader, partChar } from "../jobs/header.js";
 import { chunkName, readPage } from "../jobs/page.js";
 import { HEADERS, keys } from "../state/keys.js";
@@ -15,6 +14,7 @@
 import { enforce } from "./holding.js";
 import { type Inspected, Inspector, type PartInspection } from "./inspect.js";
 import type { Job } from "./job.js";
+import { type Kept, readRecords } from "./kept.js";
 import { Ledger } from "./ledger.js";
 import { beginPass, Placing } from "./placing.js";
 import { Preempting } from "./preempting.js";
@@ -36,25 +36,6 @@
   | { kind: "settled"; outcome: Outcome }
   | { kind: "stop" };
 
-/** What an earlier owner, or the part that a chunk came from, has left of it. */
-interface Kept {
-  state: ChunkState;
-  pages: readonly number[];
-  handover: number;
-  /** Of the record that it is in. */
-  version: number;
-}
-
-const joined = (a: Kept, b: Kept): Kept => ({
-  ...a,
-  state: {
-    attempts: Math.max(a.state.attempts, b.state.attempts),
-    done: [a.state.done, b.state.done].filter((done) => done !== "").join(","),
-    live: [...a.state.live, ...b.state.live],
-  },
-  pages: [...a.pages, ...b.pages],
-});
-
 /**
  * Owns one part: the machines hashed into it and the chunks of jobs given to it. Everything it
  * decides is committed on condition of its claim's version before it takes effect.
@@ -112,7 +93,7 @@
       (id, header) => this.#onHeader(id, header),
     );
     this.#tidying = new Tidying(ctx, this.#ledger, (id) => this.#awaits(id));
-    const kept = this.#read(records);
+    const kept = readRecords(records, ctx.index, this.#commits, this.#aside);
     for (const [key, row] of ctx.mirror.rows) {
       if (key.startsWith(HEADERS) && isHeader(row.value))
         this.#takeIn(key.slice(HEADERS.length), row.value, kept);
@@ -188,39 +169,6 @@
 
   // ---- jobs ------------------------------------------------------------------------------
 
-  #read(records: Row[]): Map<string, Kept> {
-    const { index } = this.ctx;
-    const kept = new Map<string, Kept>();
-    for (const { key, value, version } of records) {
-      if (key === keys.fence(index)) {
-        this.#commits.known(key, version);
-        continue;
-      }
-      const handed = key.startsWith(`${keys.records(index)}m/`);
-      if (!handed && !key.startsWith(keys.pages(index))) continue;
-      const states = readPage(value);
-      // What came along has its chunk's name.
-      const whole = states !== null && (!handed || states.has(key.split("/").slice(3).join("/")));
-      if (!whole) {
-        this.#aside.record(key);
-        this.#commits.reserve(key);
-        continue;
-      }
-      this.#commits.known(key, version, value);
-      const inPage = key.startsWith(keys.pages(index));
-      const pages = inPage ? [Number(key.slice(keys.pages(index).length))] : [];
-      for (const [name, state] of states) {
-        const one = { state, pages, handover: inPage ? 0 : version, version };
-        const other = kept.get(name);
-        // A page that cannot be written any more keeps what has gone to newer records since; and what
-        // was written at once in several pages is one state in pieces.
-        if (other === undefined || other.version < version) kept.set(name, one);
-        else if (other.version === version) kept.set(name, joined(other, one));
-      }
-    }
-    return kept;
-  }
-
   #onHeader(id: string, header: Header): void {
     const job = this.jobs.get(id);
     if (job !== undefined) this.#ledger.changes++;
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -2,7 +2,8 @@
 import { test } from "node:test";
 import { newestOnly } from "../src/image/newest.js";
 import { parseSettings, SettingsError } from "../src/settings/settings.js";
-import { type StoreLimits, storeLimits } from "../src/state/store.js";
+import { storeLimits } from "../src/state/store.js";
+import { AFTER } from "./support/common.js";
 import { fault } from "./support/faults.js";
 import { Random } from "./support/random.js";
 import { TEAMS, wrongs } from "./support/troubled.js";
@@ -50,16 +51,6 @@
   );
 });
 
-const LARGE: StoreLimits = {
-  rps: 200,
-  writeRps: 60,
-  ops: 12,
-  conditions: 48,
-  valueBytes: 8192,
-  txnBytes: 48 * 1024,
-};
-const SMALL: StoreLimits = { ...LARGE, ops: 4, conditions: 16, valueBytes: 1024, wideBytes: 8192 };
-
 /**
  * Controllers that write records as large as they may, restarted one by one with the limits to come;
  * then these hold, and whatever was written before is still there.
@@ -78,15 +69,15 @@
   for (let n = 0; n < 20; n++) submit(dice.int(1, 5), dice.int(60_000, 80_000));
   await world.clock.run(45_000);
   const sizes = [...world.state.rows].map(([, { value }]) => JSON.stringify(value).length);
-  assert.ok(Math.max(...sizes) > SMALL.valueBytes, `${Math.max(...sizes)}`);
+  assert.ok(Math.max(...sizes) > AFTER.valueBytes, `${Math.max(...sizes)}`);
   // Somebody from before seems to be there still.
   if (ghost) world.state.transact([], [{ put: "w/n/ghost", value: { run: "r", shy: true } }]);
   for (let n = 0; n < 3; n++) {
     world.crash(n, 1500);
-    world.stores[n]!.limits = SMALL;
+    world.stores[n]!.limits = AFTER;
     await world.clock.run(6000);
   }
-  world.state.limits = SMALL;
+  world.state.limits = AFTER;
   for (let step = 0; step < 30; step++) {
     if (dice.chance(0.4)) submit(dice.int(1, 60), dice.int(2000, 20_000));
     if (troubled && dice.chance(0.2)) fault(world, dice);
--- a/test/mixed.test.ts
+++ b/test/mixed.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { StoreLimits } from "../src/state/store.js";
+import { AFTER, BEFORE } from "./support/common.js";
 import { fault } from "./support/faults.js";
 import { buildProgram, hasHistory, type Program, productionCommit } from "./support/production.js";
 import { Random } from "./support/random.js";
@@ -10,16 +10,6 @@
 const commit = productionCommit();
 const skip = hasHistory(commit) ? false : `this checkout has no history: ${commit} is not there`;
 
-const LARGE: StoreLimits = {
-  rps: 200,
-  writeRps: 60,
-  ops: 12,
-  conditions: 48,
-  valueBytes: 8192,
-  txnBytes: 48 * 1024,
-};
-const NEXT: StoreLimits = { ...LARGE, ops: 4, conditions: 16, valueBytes: 1024, wideBytes: 8192 };
-
 interface Plan {
   seed: number;
   nodes: number;
@@ -62,7 +52,7 @@
       const [n] = left.splice(dice.int(0, left.length - 1), 1) as [number];
       if (to === "new") isNew.add(n);
       else isNew.delete(n);
-      world.stores[n]!.limits = to === "new" ? NEXT : LARGE;
+      world.stores[n]!.limits = to === "new" ? AFTER : BEFORE;
       world.crash(n, dice.int(200, 5000));
       await work(dice.int(1, 4), true);
       // One that dies before its turn comes back as it was.
@@ -73,7 +63,7 @@
   if (back) await turn("old");
   else {
     await work(3, true);
-    world.state.limits = NEXT;
+    world.state.limits = AFTER;
     for (let n = 0; n < 6; n++) {
       const first = submit(dice.int(1, 6), dice.int(2000, 9000));
       while (!world.jobs.get(first)!.accepted) await world.clock.run(500);
--- a/test/support/common.ts
+++ b/test/support/common.ts
@@ -36,3 +36,13 @@
   },
   peers: { send() {}, broadcast() {}, sentAt: () => 0 },
 };
+
+/** What a platform allows before its state service's limits fall, and after. */
+export const BEFORE: StoreLimits = { ...LIMITS, rps: 200, writeRps: 60 };
+export const AFTER: StoreLimits = {
+  ...BEFORE,
+  ops: 4,
+  conditions: 16,
+  valueBytes: 1024,
+  wideBytes: BEFORE.valueBytes,
+};
