--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { newestOnly } from "../src/image/newest.js";
 import { parseSettings, SettingsError } from "../src/settings/settings.js";
-import { storeLimits } from "../src/state/store.js";
+import { Busy, storeLimits } from "../src/state/store.js";
 import { AFTER } from "./support/common.js";
 import { fault } from "./support/faults.js";
 import { Random } from "./support/random.js";
@@ -105,6 +105,27 @@
   assert.deepEqual(wrongs(world), []);
 });
 
+for (const times of [1, 2]) {
+  test(`limits: a submission over the rate, refused ${times} times`, async () => {
+    const world = new World(8, 3, TEAMS, 4);
+    await world.clock.run(20_000);
+    const { body } = world.submit("wk-1", { team: "red", tasks: 1 });
+    await world.clock.run(5000);
+    const [store] = world.stores;
+    const transact = store!.transact.bind(store);
+    let left = times;
+    store!.transact = (when, then) => {
+      const submits = then.some((change) => "put" in change && change.put === "w/j/wk-2");
+      if (submits && left-- > 0) return Promise.reject(new Busy("429"));
+      return transact(when, then);
+    };
+    const asked = world.ask(0, "POST", "/api/jobs", { ...body, uid: "wk-2" });
+    const answer = await world.clock.within(asked);
+    assert.equal(answer?.status, times === 1 ? 201 : 503);
+    world.stop();
+  });
+}
+
 test("limits: a platform's settings without any to come are what they were", () => {
   const { params } = settingsFor(0, 3, TEAMS);
   assert.equal(storeLimits(params.state).valueBytes, params.state.value_kb * 1024);
