birchdale lab: runs at scale on one machine, with hollow workers

Package birchdale/lab: a scenario file (TOML, checked by zod), real controllers with the deployment's flags, hundreds of workers in a process, the stand-ins of birchdale/local in processes of their own with limits and latencies, results as JSON and as a table, rules looked for in the workers' history. Faults: a controller killed, machines lost, state services out, failures and restarts.

The local worker wakes for changes in place of looking every 50 ms, and keeps one connection, as PROTOCOL has it. The state service's watch reads its log from the end. Settings files are written in one place.

--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -9,6 +9,13 @@
   retryAfterS?: number;
 }
 
+/** An answer whose body has not been read. */
+interface RawAnswer {
+  status: number;
+  retryAfterS?: number;
+  bytes: Buffer;
+}
+
 /** No answer came: the request may have been executed, or may still be executed later. */
 export class NoAnswer extends Error {}
 
@@ -39,7 +46,26 @@
         : sockets;
   }
 
-  call(method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer> {
+  async call(method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer> {
+    const { status, retryAfterS, bytes } = await this.#exchange(method, path, body, timeoutMs);
+    if (bytes.length === 0) return { status, body: undefined, retryAfterS };
+    try {
+      return { status, retryAfterS, body: decode(bytes) };
+    } catch {
+      // An error page that is not CBOR still says something through its status.
+      if (status >= 400) return { status, body: undefined, retryAfterS };
+      throw new NoAnswer(`${method} ${path}: answer is not CBOR`);
+    }
+  }
+
+  /** An answer in plain text, such as `/metrics`. @throws NoAnswer, also for any status but 200 */
+  async text(path: string, timeoutMs: number): Promise<string> {
+    const { status, bytes } = await this.#exchange("GET", path, undefined, timeoutMs);
+    if (status !== 200) throw new NoAnswer(`GET ${path}: status ${status}`);
+    return bytes.toString("utf8");
+  }
+
+  #exchange(method: string, path: string, body: unknown, timeoutMs: number): Promise<RawAnswer> {
     return new Promise((resolve, reject) => {
       const payload = body === undefined ? undefined : encode(body);
       const req = request({
@@ -75,18 +101,8 @@
           const status = res.statusCode ?? 0;
           const wait = Number(res.headers["retry-after"] ?? Number.NaN);
           const retryAfterS = Number.isFinite(wait) ? wait : undefined;
-          if (size === 0) return resolve({ status, body: undefined, retryAfterS });
-          try {
-            resolve({
-              status,
-              retryAfterS,
-              body: decode(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)),
-            });
-          } catch {
-            // An error page that is not CBOR still says something through its status.
-            if (status >= 400) resolve({ status, body: undefined, retryAfterS });
-            else fail("answer is not CBOR");
-          }
+          const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+          resolve({ status, retryAfterS, bytes });
         });
       });
       req.end(payload);
--- /dev/null
+++ b/src/lab/platform.ts
@@ -0,0 +1,248 @@
+/** All processes of a run, started in order, wired to each other, and ended whatever happens. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { sleep, systemClock } from "../clock.js";
+import { HttpClient } from "../http/client.js";
+import { freePort, type NodeAddresses, settingsText } from "../local/index.js";
+import { hash } from "../membership/layout.js";
+import { ControllerProcess, controllerCommand, LabProcess } from "./children.js";
+import type { History } from "./history.js";
+import { hostKey } from "./hollow-workers.js";
+import type { Assignment, FromProcess, RegionalTeam, Role } from "./messages.js";
+import type { Region, Scenario } from "./scenario.js";
+
+const READY_MS = 30_000;
+const PROBE_MS = 200;
+
+/** One region's processes. */
+interface RegionProcesses {
+  region: Region;
+  state: LabProcess;
+  cloud: LabProcess;
+  users: LabProcess;
+  controllers: ControllerProcess[];
+}
+
+/** What a region holds of each team's guarantee and limit: as much as it has of the machines. */
+export function regionalTeams({ teams, regions }: Scenario, region: Region): RegionalTeam[] {
+  const machines = regions.reduce((sum, one) => sum + one.machines, 0);
+  const share = region.machines / machines;
+  const width = String(teams.count).length;
+  return Array.from({ length: teams.count }, (_, n) => ({
+    name: `team-${String(n + 1).padStart(width, "0")}`,
+    cpus: Math.floor(teams.guarantee_cpus * share),
+    cpus_max: Math.max(1, Math.floor(teams.limit_cpus * share)),
+    gpus: 0,
+    gpus_max: 0,
+  }));
+}
+
+export class LabPlatform {
+  readonly regions: RegionProcesses[] = [];
+  readonly workers: LabProcess[] = [];
+  /** Machines that are up, as `region/name`. */
+  readonly up = new Set<string>();
+  readonly #folder = mkdtempSync(join(tmpdir(), "birchdale-lab-"));
+  readonly #nodes: Record<string, Record<string, string>> = {};
+  #seeds = 0;
+
+  constructor(
+    readonly scenario: Scenario,
+    /** The program that all processes run. */
+    readonly program: string,
+    readonly history: History,
+  ) {}
+
+  get processes(): LabProcess[] {
+    const own = this.regions.flatMap(({ state, cloud, users }) => [state, cloud, users]);
+    return [...own, ...this.workers];
+  }
+
+  get controllers(): ControllerProcess[] {
+    return this.regions.flatMap(({ controllers }) => controllers);
+  }
+
+  /** @throws Error when a process does not start, or no controller of a region serves in time */
+  async start(): Promise<void> {
+    const { scenario } = this;
+    const started: { region: Region; addresses: { state: string; cloud: string } }[] = [];
+    for (const region of scenario.regions) {
+      const [state, cloud] = [this.#process("state", region), this.#process("cloud", region)];
+      const nodes = await this.#nodesOf(region);
+      this.#nodes[region.name] = Object.fromEntries(
+        nodes.map(({ name, listen }) => [name, listen]),
+      );
+      const users = this.#process("users", region);
+      this.regions.push({ region, state, cloud, users, controllers: [] });
+      const addresses = { state: await state.begin(), cloud: await cloud.begin() };
+      started.push({ region, addresses });
+      this.regions.at(-1)!.controllers = this.#controllers(region, nodes, addresses);
+    }
+    for (let n = 0; n < scenario.workers.processes; n++) {
+      const index = n;
+      const process = this.#process("workers", scenario.regions[0]!, (message) =>
+        this.#hearWorkers(index, message),
+      );
+      this.workers.push(process);
+    }
+    for (const controller of this.controllers) controller.start();
+    await Promise.all(this.workers.map((one) => one.begin()));
+    await Promise.all(this.regions.map(({ users }) => users.begin()));
+    await Promise.all(this.regions.map((one) => this.#ready(one)));
+  }
+
+  /** Machines boot and users come. */
+  go(): void {
+    for (const { cloud, users } of this.regions) {
+      cloud.send({ kind: "go" });
+      users.send({ kind: "go" });
+    }
+  }
+
+  async end(): Promise<void> {
+    await Promise.all(this.controllers.map((one) => one.kill()));
+    await Promise.all(this.processes.map((one) => one.end()));
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  /** The process that runs a machine's worker. */
+  workersOf(key: string): LabProcess {
+    return this.workers[hash(key) % this.workers.length]!;
+  }
+
+  regionOf(name: string): RegionProcesses {
+    return this.regions.find(({ region }) => region.name === name)!;
+  }
+
+  #process(
+    role: Role,
+    region: Region,
+    hear: (message: FromProcess) => void = (message) => this.#hear(region, message),
+  ): LabProcess {
+    const { scenario } = this;
+    const zones = scenario.zones.filter((one) => one.region === region.name);
+    const assignment: Assignment = {
+      role,
+      scenario,
+      region,
+      zones: zones.map(({ name }) => name),
+      seed: scenario.seed * 1000 + this.#seeds++,
+      nodes: this.#nodes,
+      teams: regionalTeams(scenario, region),
+    };
+    return new LabProcess(this.program, assignment, hear);
+  }
+
+  async #nodesOf(region: Region): Promise<NodeAddresses[]> {
+    const zones = this.scenario.zones.filter((one) => one.region === region.name);
+    const nodes: NodeAddresses[] = [];
+    for (let n = 0; n < region.controllers; n++) {
+      nodes.push({
+        name: `${region.name}-${n}`,
+        zone: zones[n % zones.length]!.name,
+        listen: `127.0.0.1:${await freePort()}`,
+        peer: `127.0.0.1:${await freePort()}`,
+      });
+    }
+    return nodes;
+  }
+
+  #controllers(
+    region: Region,
+    nodes: readonly NodeAddresses[],
+    services: { state: string; cloud: string },
+  ): ControllerProcess[] {
+    const { scenario, program } = this;
+    const { workers, state, cloud, controllers } = scenario;
+    const command = controllerCommand(program);
+    let tuning: string | null = null;
+    if (controllers.tuning !== "") {
+      tuning = join(this.#folder, "tuning.textproto");
+      writeFileSync(tuning, controllers.tuning);
+    }
+    const params = {
+      zones: scenario.zones.filter((one) => one.region === region.name).map(({ name }) => name),
+      teams: regionalTeams(scenario, region),
+      workers: {
+        reportS: workers.report_s,
+        leaseS: workers.lease_s,
+        cancelS: workers.cancel_s,
+      },
+      state: {
+        rps: state.rps,
+        writeRps: state.write_rps,
+        valueKb: state.value_kb,
+        txnOps: state.txn_ops,
+      },
+      cloud: { rps: cloud.rps, listLagS: cloud.list_lag_s },
+      quota: {
+        cores: controllers.cores,
+        ramMb: controllers.ram_mb,
+        maxSockets: controllers.max_sockets,
+      },
+    };
+    return nodes.map((node) => {
+      const file = join(this.#folder, `${node.name}.toml`);
+      writeFileSync(file, settingsText(node, nodes, services, params));
+      return new ControllerProcess(node.name, node.listen, program, command, file, tuning);
+    });
+  }
+
+  async #ready({ region, controllers }: RegionProcesses): Promise<void> {
+    const until = systemClock.now() + READY_MS;
+    const clients = controllers.map(({ listen }) => new HttpClient(listen, 1, systemClock));
+    try {
+      while (systemClock.now() < until) {
+        const over = controllers.find(({ ended }) => ended !== null);
+        if (over !== undefined) throw new Error(over.ended!);
+        for (const client of clients) {
+          const answer = await client
+            .call("GET", "/healthz", undefined, PROBE_MS * 5)
+            .catch(() => null);
+          if (answer?.status === 200) return;
+        }
+        await sleep(systemClock, PROBE_MS);
+      }
+    } finally {
+      for (const client of clients) client.close();
+    }
+    throw new Error(`no controller of ${region.name} is ready in time`);
+  }
+
+  #hear(region: Region, message: FromProcess): void {
+    const { name } = region;
+    switch (message.kind) {
+      case "up": {
+        const { host, type } = message;
+        const key = hostKey({ region: name, uid: host.uid });
+        this.up.add(key);
+        this.workersOf(key).send({ kind: "boot", region: name, host, type });
+        break;
+      }
+      case "gone": {
+        const key = hostKey({ region: name, uid: message.uid });
+        this.up.delete(key);
+        this.workersOf(key).send({ kind: "gone", region: name, uid: message.uid });
+        break;
+      }
+      case "submits": {
+        const { job, team, priority, at } = message;
+        for (const process of this.workers) process.send({ kind: "job", job });
+        this.history.submitted(job.uid, { team, priority, cpus: job.cores, at });
+        break;
+      }
+      case "cancelled":
+        this.history.cancelled(message.job, message.at);
+        break;
+    }
+  }
+
+  #hearWorkers(index: number, message: FromProcess): void {
+    if (message.kind === "events") this.history.add(index, message.events, message.until);
+    else if (message.kind === "address") {
+      const { region, uid, address } = message;
+      this.regionOf(region).cloud.send({ kind: "address", uid, address });
+    }
+  }
+}
--- /dev/null
+++ b/src/lab/results.ts
@@ -0,0 +1,284 @@
+/** What a run measured: one JSON document, and the same as a table for people. */
+import { cpus } from "node:os";
+import type { Histogram } from "hdr-histogram-js";
+import type { Priority } from "../wire/jobs.js";
+import type { History, Violation } from "./history.js";
+import type { ConfigurationDelay, Figures } from "./messages.js";
+import type { Scenario } from "./scenario.js";
+
+/** All processes of one role over the measured window. */
+export interface RoleFigures {
+  role: string;
+  processes: number;
+  /** Shares of a core: of all its processes, and of the one that took most. */
+  cores: number;
+  mostCores: number;
+  /** Of the largest process, MB. */
+  residentMb: number;
+  heapMb: number | null;
+  /** What it was asked, a second; null where nobody counts. */
+  requestsPerS: number | null;
+  kbInPerS: number;
+  kbOutPerS: number;
+}
+
+/** Milliseconds. */
+export interface Delays {
+  count: number;
+  p50: number;
+  p90: number;
+  p99: number;
+  max: number;
+}
+
+export interface PriorityResults {
+  jobs: number;
+  jobStart: Delays;
+  taskStart: Delays;
+  /** Of those submitted at least 7 s before the end. */
+  begunWithin7s: { jobs: number; share: number };
+}
+
+/** One region's state service, a second over the window, but for what it keeps. */
+export interface StateResults {
+  region: string;
+  requestsPerS: number;
+  changesPerS: number;
+  kbWrittenPerS: number;
+  refusedRequests: number;
+  refusedChanges: number;
+  conflicts: number;
+  keys: number;
+  kbKept: number;
+}
+
+/** What a worker spends on control, in the mean over all workers and the window. */
+export interface WorkerResults {
+  workers: number;
+  tasksPerWorker: number;
+  reportsPerS: number;
+  refusedReportsShare: number;
+  bytesOutPerS: number;
+  bytesInPerS: number;
+  /** Of its process, divided by the workers that share it. */
+  cores: number;
+  mb: number;
+}
+
+export interface LabResults {
+  label: string;
+  scenario: Scenario;
+  machine: { cores: number; model: string; node: string };
+  /** Whether the run came to the end of its window. */
+  complete: boolean;
+  windowS: number;
+  roles: RoleFigures[];
+  worker: WorkerResults;
+  tasks: {
+    running: number;
+    startsPerS: number;
+    endsPerS: number;
+    repeatedStarts: number;
+    endsByCause: Record<string, number>;
+  };
+  jobs: {
+    submitted: number;
+    accepted: number;
+    done: number;
+    cancelled: number;
+    failed: number;
+    open: number;
+  };
+  priorities: Partial<Record<Priority, PriorityResults>>;
+  state: StateResults[];
+  configuration: { changes: number; overtaken: number; inForceMs: Delays } | null;
+  violations: Violation[];
+}
+
+export const delaysOf = (histogram: Histogram): Delays => ({
+  count: histogram.totalCount,
+  p50: histogram.getValueAtPercentile(50),
+  p90: histogram.getValueAtPercentile(90),
+  p99: histogram.getValueAtPercentile(99),
+  max: histogram.maxValue,
+});
+
+const URGENT_MS = 7000;
+
+export function prioritiesOf(history: History): LabResults["priorities"] {
+  const results: LabResults["priorities"] = {};
+  for (const [priority, { jobs, firstStarts, starts }] of history.waits) {
+    if (jobs === 0) continue;
+    results[priority] = {
+      jobs,
+      jobStart: delaysOf(firstStarts),
+      taskStart: delaysOf(starts),
+      begunWithin7s: history.begunWithin(priority, URGENT_MS),
+    };
+  }
+  return results;
+}
+
+type FiguresOf<R extends Figures["role"]> = Extract<Figures, { role: R }>;
+
+export const figuresOf = <R extends Figures["role"]>(
+  role: R,
+  all: readonly (Figures | null)[],
+): FiguresOf<R>[] => all.filter((one): one is FiguresOf<R> => one !== null && one.role === role);
+
+export function stateResults(
+  region: string,
+  before: Figures | null,
+  after: Figures | null,
+  seconds: number,
+): StateResults {
+  const [from] = figuresOf("state", [before]);
+  const [to] = figuresOf("state", [after]);
+  const diff = (name: keyof FiguresOf<"state">["use"]): number =>
+    (to?.use[name] ?? 0) - (from?.use[name] ?? 0);
+  return {
+    region,
+    requestsPerS: diff("requests") / seconds,
+    changesPerS: diff("changes") / seconds,
+    kbWrittenPerS: diff("bytesWritten") / 1024 / seconds,
+    refusedRequests: diff("refusedRequests"),
+    refusedChanges: diff("refusedChanges"),
+    conflicts: diff("conflicts"),
+    keys: to?.keys ?? 0,
+    kbKept: (to?.bytesKept ?? 0) / 1024,
+  };
+}
+
+export function workerResults(
+  before: readonly (Figures | null)[],
+  after: readonly (Figures | null)[],
+  cores: number,
+  mb: number,
+  seconds: number,
+): WorkerResults {
+  const sums = (all: readonly (Figures | null)[]) => {
+    const sum = { workers: 0, reports: 0, refused: 0, bytesOut: 0, bytesIn: 0, tasks: 0 };
+    for (const { traffic, tasks } of figuresOf("workers", all)) {
+      sum.workers += traffic.workers;
+      sum.reports += traffic.reports;
+      sum.refused += traffic.refused;
+      sum.bytesOut += traffic.bytesOut;
+      sum.bytesIn += traffic.bytesIn;
+      sum.tasks += tasks;
+    }
+    return sum;
+  };
+  const [from, to] = [sums(before), sums(after)];
+  const workers = Math.max(1, (from.workers + to.workers) / 2);
+  const reports = to.reports - from.reports;
+  return {
+    workers: to.workers,
+    tasksPerWorker: (from.tasks + to.tasks) / 2 / workers,
+    reportsPerS: reports / seconds,
+    refusedReportsShare: reports === 0 ? 0 : (to.refused - from.refused) / reports,
+    bytesOutPerS: (to.bytesOut - from.bytesOut) / workers / seconds,
+    bytesInPerS: (to.bytesIn - from.bytesIn) / workers / seconds,
+    cores: cores / workers,
+    mb: mb / workers,
+  };
+}
+
+export function configurationResults(
+  delays: readonly ConfigurationDelay[],
+  histogram: Histogram,
+): LabResults["configuration"] {
+  if (delays.length === 0) return null;
+  let overtaken = 0;
+  for (const { inForceMs } of delays) {
+    if (inForceMs === null) overtaken++;
+    else histogram.recordValue(Math.max(1, Math.round(inForceMs)));
+  }
+  return { changes: delays.length, overtaken, inForceMs: delaysOf(histogram) };
+}
+
+export const machineOf = (): LabResults["machine"] => ({
+  cores: cpus().length,
+  model: cpus()[0]?.model ?? "",
+  node: process.version,
+});
+
+const cell = (value: number | string | null, digits = 0): string =>
+  value === null ? "-" : typeof value === "string" ? value : value.toFixed(digits);
+
+/** Columns as wide as their widest cell, the first to the left, the others to the right. */
+function table(rows: readonly (readonly string[])[]): string {
+  const widths = rows[0]!.map((_, i) => Math.max(...rows.map((row) => row[i]!.length)));
+  const line = (row: readonly string[]): string =>
+    row
+      .map((text, i) => (i === 0 ? text.padEnd(widths[i]!) : text.padStart(widths[i]!)))
+      .join("  ");
+  return rows.map(line).join("\n");
+}
+
+/** The results as text, as the command prints them. */
+export function tableOf(results: LabResults): string {
+  const { roles, priorities, tasks, state, worker, jobs, configuration, violations } = results;
+  const parts = [
+    table([
+      ["role", "processes", "cores", "most", "MB", "heap MB", "requests/s", "KB/s in", "KB/s out"],
+      ...roles.map((one) => [
+        one.role,
+        cell(one.processes),
+        cell(one.cores, 3),
+        cell(one.mostCores, 3),
+        cell(one.residentMb),
+        cell(one.heapMb),
+        cell(one.requestsPerS),
+        cell(one.kbInPerS),
+        cell(one.kbOutPerS),
+      ]),
+    ]),
+    table([
+      ["priority", "jobs", "job p50", "p90", "p99", "max s", "task p50", "p99 s", "within 7 s"],
+      ...Object.entries(priorities).map(([priority, one]) => [
+        priority,
+        cell(one.jobs),
+        cell(one.jobStart.p50 / 1000, 1),
+        cell(one.jobStart.p90 / 1000, 1),
+        cell(one.jobStart.p99 / 1000, 1),
+        cell(one.jobStart.max / 1000, 1),
+        cell(one.taskStart.p50 / 1000, 1),
+        cell(one.taskStart.p99 / 1000, 1),
+        `${cell(one.begunWithin7s.share, 3)} of ${one.begunWithin7s.jobs}`,
+      ]),
+    ]),
+    table([
+      ["state", "requests/s", "changes/s", "KB/s", "refused", "refused changes", "keys", "KB kept"],
+      ...state.map((one) => [
+        one.region,
+        cell(one.requestsPerS),
+        cell(one.changesPerS, 1),
+        cell(one.kbWrittenPerS),
+        cell(one.refusedRequests),
+        cell(one.refusedChanges),
+        cell(one.keys),
+        cell(one.kbKept),
+      ]),
+    ]),
+    `tasks: ${tasks.running} running, ${cell(tasks.startsPerS, 1)} starts/s, ` +
+      `${cell(tasks.endsPerS, 1)} ends/s, ${tasks.repeatedStarts} started again; ` +
+      Object.entries(tasks.endsByCause)
+        .map(([cause, count]) => `${cause} ${count}`)
+        .join(", "),
+    `a worker (of ${worker.workers}, ${cell(worker.tasksPerWorker, 1)} tasks): ` +
+      `${cell(worker.bytesOutPerS)} bytes/s out, ${cell(worker.bytesInPerS)} in, ` +
+      `${cell(100 * worker.cores, 2)}% of a core, ${cell(worker.mb, 1)} MB`,
+    `jobs: ${jobs.submitted} submitted, ${jobs.accepted} accepted, ${jobs.done} done, ` +
+      `${jobs.cancelled} cancelled, ${jobs.failed} failed, ${jobs.open} open`,
+  ];
+  if (configuration !== null) {
+    const { changes, overtaken, inForceMs } = configuration;
+    parts.push(
+      `configuration: ${changes} changes, in force p50 ${inForceMs.p50} ms, p99 ${inForceMs.p99}, ` +
+        `most ${inForceMs.max}, ${overtaken} overtaken`,
+    );
+  }
+  const broken = violations.map(({ rule, detail }) => `broken: ${rule}: ${detail}`);
+  parts.push(broken.length === 0 ? "no rule broken" : broken.slice(0, 20).join("\n"));
+  return `${results.label}\n\n${parts.slice(0, 3).join("\n\n")}\n\n${parts.slice(3).join("\n")}\n`;
+}
--- a/src/local/cloud.ts
+++ b/src/local/cloud.ts
@@ -37,6 +37,9 @@
   hosts: (Host & { address: string; heldS: number })[];
 }
 
+/** How long a machine that has died stays listed as running (PROTOCOL). */
+const FAILURE_SHOWN_MS = 30_000;
+
 /** Rents machines (PROTOCOL, "Controller nodes -> cloud"): boots, refusals, spot notices, lists. */
 export class Cloud extends Service {
   readonly hosts = new Map<string, Host>();
@@ -59,8 +62,9 @@
     limits: { rps: number; listLagMs: number },
     readonly events: HostEvents,
     readonly random: () => number,
+    latencyMs?: () => number,
   ) {
-    super((asked) => this.#answer(asked));
+    super((asked) => this.#answer(asked), latencyMs);
     this.#budget = new Budget(limits.rps, 2 * limits.rps, clock);
     const look = (): void => {
       const now = clock.now();
@@ -129,12 +133,14 @@
     return { status: 200, body: { hosts: names } };
   }
 
-  add(type: CloudType, berth: string, borrowed: boolean): Host {
+  /** Begins a machine's rental; `ready` machines are up at once. */
+  add(type: CloudType, berth: string, borrowed: boolean, ready = false): Host {
     const uid = `host-${String(++this.#numbers).padStart(6, "0")}`;
     const rentedAt = this.clock.now();
     const host: Host = { uid, build: type.name, berth, borrowed, status: "starting", rentedAt };
     this.hosts.set(uid, host);
-    this.clock.after(type.bootS * 1000 * (0.6 + 0.9 * this.random()), () => {
+    const bootMs = ready ? 0 : type.bootS * 1000 * (0.6 + 0.9 * this.random());
+    this.clock.after(bootMs, () => {
       if (this.hosts.get(uid) !== host) return;
       host.status = "running";
       this.events.up(host, type);
@@ -151,6 +157,16 @@
     }
   }
 
+  /** A machine stops on its own: all on it is gone, and the list says so a while later. */
+  fail(uid: string): void {
+    const host = this.hosts.get(uid);
+    if (host === undefined) return;
+    this.events.gone(uid);
+    this.clock.after(FAILURE_SHOWN_MS, () => {
+      host.status = "failed";
+    });
+  }
+
   remove(uid: string): void {
     const host = this.hosts.get(uid);
     if (host === undefined) return;
--- a/src/local/index.ts
+++ b/src/local/index.ts
@@ -6,7 +6,8 @@
 export { Cloud, type CloudType, type Host } from "./cloud.js";
 export { type LocalOptions, runLocal } from "./command.js";
 export { Front } from "./front.js";
-export { Platform, type PlatformOptions } from "./platform.js";
-export { Malformed, type StateLimits, StateService } from "./state.js";
-export { StateServer } from "./state-server.js";
+export { freePort, Platform, type PlatformOptions } from "./platform.js";
+export { type NodeAddresses, type PlatformParams, settingsText } from "./settings-text.js";
+export { Malformed, type StateLimits, StateService, sizeOf } from "./state.js";
+export { StateServer, type StateUse } from "./state-server.js";
 export { type TaskEvent, type Uploaded, Worker } from "./worker.js";
--- a/src/local/platform.ts
+++ b/src/local/platform.ts
@@ -3,6 +3,7 @@
 import { parseSettings, type Settings, type Team } from "../settings/settings.js";
 import { Cloud, type CloudType, type Host } from "./cloud.js";
 import { Front } from "./front.js";
+import { type PlatformParams, settingsText } from "./settings-text.js";
 import { StateService } from "./state.js";
 import { StateServer } from "./state-server.js";
 import { type TaskEvent, Worker } from "./worker.js";
@@ -50,7 +51,7 @@
 ];
 
 /** A port of loopback that nobody listens on now. */
-function freePort(): Promise<number> {
+export function freePort(): Promise<number> {
   return new Promise((resolve, reject) => {
     const server = createServer();
     server.once("error", reject);
@@ -145,7 +146,7 @@
     }
     for (const { name, listen } of nodes) this.#nodes.set(name, listen);
     for (const node of nodes) {
-      const text = this.#settingsFor(node, nodes, { state, cloud });
+      const text = settingsText(node, nodes, { state, cloud }, this.#params());
       this.files.push(text);
       this.settings.push(parseSettings(text, node.name));
     }
@@ -196,58 +197,15 @@
     if (this.#stopped) worker.stop();
   }
 
-  #settingsFor(
-    own: { name: string; zone: string; listen: string; peer: string },
-    nodes: readonly { name: string; zone: string; peer: string }[],
-    { state, cloud }: { state: string; cloud: string },
-  ): string {
+  #params(): PlatformParams {
     const { zones, teams, reportS, leaseS, cancelS, valueKb, writeRps } = this.#options;
-    const known = nodes
-      .filter(({ name }) => name !== own.name)
-      .map(
-        ({ name, zone, peer }) =>
-          `[[known]]\nnode_name = "${name}"\nsite = "${zone}"\naddr = "${peer}"\n`,
-      );
-    const listed = teams.map(
-      ({ name, cpus, cpus_max, gpus, gpus_max }) =>
-        `[[params.teams]]\nname = "${name}"\ncpus = ${cpus}\ncpus_max = ${cpus_max}\n` +
-        `gpus = ${gpus}\ngpus_max = ${gpus_max}\n`,
-    );
-    return `node_name = "${own.name}"
-site = "${own.zone}"
-listen = "${own.listen}"
-cluster_listen = "${own.peer}"
-
-${known.join("\n")}
-[services]
-cloud = "${cloud}"
-state = "${state}"
-
-[params]
-size = ${nodes.length}
-zones = ${JSON.stringify(zones)}
-clock_error_ms = 5
-
-${listed.join("\n")}
-[params.workers]
-report_s = ${reportS}
-lease_s = ${leaseS}
-cancel_s = ${cancelS}
-
-[params.state]
-rps = 250
-write_rps = ${writeRps}
-value_kb = ${valueKb}
-txn_ops = 24
-
-[params.cloud]
-rps = 5
-list_lag_s = 2
-
-[params.quota]
-cores = 1
-ram_mb = 178
-max_sockets = 1000
-`;
+    return {
+      zones,
+      teams,
+      workers: { reportS, leaseS, cancelS },
+      state: { rps: 250, writeRps, valueKb, txnOps: 24 },
+      cloud: { rps: 5, listLagS: 2 },
+      quota: { cores: 1, ramMb: 178, maxSockets: 1000 },
+    };
   }
 }
--- a/src/local/serve.ts
+++ b/src/local/serve.ts
@@ -25,7 +25,11 @@
   readonly #server: Server;
   address = "";
 
-  constructor(answer: Answerer) {
+  constructor(
+    answer: Answerer,
+    /** How long each answer takes at the least, milliseconds. */
+    latencyMs: () => number = () => 0,
+  ) {
     this.#server = createServer((req, res) => {
       const chunks: Buffer[] = [];
       let size = 0;
@@ -47,6 +51,8 @@
         } catch (error) {
           given = { status: 400, body: { error: (error as Error).message } };
         }
+        const waitMs = latencyMs();
+        if (waitMs > 0) await new Promise((resolve) => setTimeout(resolve, waitMs));
         if (given === null || res.destroyed) {
           req.socket.destroy();
           return;
--- a/src/local/state-server.ts
+++ b/src/local/state-server.ts
@@ -3,7 +3,7 @@
 import { type Change, type Condition, NoLease } from "../state/store.js";
 import { isMap } from "../wire/cbor.js";
 import { type Asked, type Given, Service } from "./serve.js";
-import { Malformed, type StateService } from "./state.js";
+import { Malformed, type StateService, sizeOf } from "./state.js";
 
 const no = (status: number, error?: string): Given => ({
   status,
@@ -11,8 +11,29 @@
   ...(status === 429 || status === 503 ? { retryAfterS: 1 } : {}),
 });
 
+/** What a state service has been asked for since it began. */
+export interface StateUse {
+  requests: number;
+  /** Puts and deletes that were applied, and their bytes as JSON. */
+  changes: number;
+  bytesWritten: number;
+  /** Requests answered 429, by the limit that they met. */
+  refusedRequests: number;
+  refusedChanges: number;
+  /** Transactions whose conditions failed. */
+  conflicts: number;
+}
+
 /** The state service on a socket, with its limits of requests and changes a second. */
 export class StateServer extends Service {
+  readonly use: StateUse = {
+    requests: 0,
+    changes: 0,
+    bytesWritten: 0,
+    refusedRequests: 0,
+    refusedChanges: 0,
+    conflicts: 0,
+  };
   /** The share of transactions that are executed and never answered; half of them late. */
   loss = 0;
   readonly #requests: Budget;
@@ -23,8 +44,9 @@
     readonly clock: Clock,
     limits: { rps: number; writeRps: number },
     readonly random: () => number,
+    latencyMs?: () => number,
   ) {
-    super((asked) => this.#answer(asked));
+    super((asked) => this.#answer(asked), latencyMs);
     this.#requests = new Budget(limits.rps, limits.rps, clock);
     this.#writes = new Budget(limits.writeRps, limits.writeRps, clock);
   }
@@ -32,7 +54,11 @@
   async #answer(asked: Asked): Promise<Given | null> {
     const { method, path } = asked;
     if (this.state.outage) return no(503);
-    if (!this.#requests.take(1)) return no(429);
+    this.use.requests++;
+    if (!this.#requests.take(1)) {
+      this.use.refusedRequests++;
+      return no(429);
+    }
     try {
       if (method === "GET" && path === "/kv") return this.#list(asked);
       if (method === "GET" && path.startsWith("/kv/")) return this.#get(path.slice(4));
@@ -80,7 +106,10 @@
       const lease = change.tenancy == null ? {} : { lease: Number(change.tenancy) };
       return { put: change.write, value: change.data, ...lease };
     });
-    if (then.length > 0 && !this.#writes.take(then.length)) return no(429);
+    if (then.length > 0 && !this.#writes.take(then.length)) {
+      this.use.refusedChanges++;
+      return no(429);
+    }
     if (this.random() < this.loss) {
       // Whoever asked hears nothing; it is applied all the same, at once or some seconds later.
       await sleep(this.clock, this.random() < 0.5 ? 0 : this.random() * 8000);
@@ -89,10 +118,21 @@
     }
     const result = this.state.transact(when, then);
     const { revision } = result;
-    if (result.ok) return { status: 200, body: { ledgerRev: revision } };
+    if (result.ok) {
+      this.#count(then);
+      return { status: 200, body: { ledgerRev: revision } };
+    }
+    this.use.conflicts++;
     return { status: 409, body: { failed: result.failed, ledgerRev: revision } };
   }
 
+  #count(changes: readonly Change[]): void {
+    this.use.changes += changes.length;
+    for (const change of changes) {
+      if ("put" in change) this.use.bytesWritten += sizeOf(change.value);
+    }
+  }
+
   async #watch({ query }: Asked): Promise<Given> {
     const prefix = query.get("under") ?? "";
     const after = Number(query.get("after") ?? 0);
--- a/src/local/state.ts
+++ b/src/local/state.ts
@@ -24,7 +24,8 @@
 }
 
 const copy = <T>(value: T): T => structuredClone(value);
-const sizeOf = (value: unknown): number => JSON.stringify(value)?.length ?? 0;
+/** Bytes of a value as PROTOCOL counts them: those of its JSON. */
+export const sizeOf = (value: unknown): number => JSON.stringify(value)?.length ?? 0;
 const LIST_BYTES = 500 * 1024;
 const KEPT_EVENTS = 10_000;
 const TXN_BYTES = 64 * 1024;
@@ -176,7 +177,14 @@
   changes(prefix: string, after: number): Event[] | null {
     const oldest = this.log[0]?.version ?? 0;
     if (this.log.length >= KEPT_EVENTS && after < oldest - 1) return null;
-    return this.log.filter(({ key, version }) => version > after && key.startsWith(prefix));
+    const found: Event[] = [];
+    // The newest are at the end, and most who ask have seen nearly all of them.
+    for (let at = this.log.length - 1; at >= 0; at--) {
+      const event = this.log[at]!;
+      if (event.version <= after) break;
+      if (event.key.startsWith(prefix)) found.push(event);
+    }
+    return found.reverse();
   }
 
   /** Resolves with the next change of anything, or when the time is over. */
--- a/src/local/worker.ts
+++ b/src/local/worker.ts
@@ -34,6 +34,9 @@
   cause: string;
 }
 
+/** Reports go out no more often than this, whatever changes (PROTOCOL). */
+const LEAST_APART_MS = 500;
+
 interface Task {
   piece: string;
   attempt: number;
@@ -62,6 +65,8 @@
   /** Progress that tasks have saved, and results: kept outside of machines. */
   saved: Map<string, number | "done">;
   tell(event: TaskEvent): void;
+  /** Hears of every report: the answer's status, 0 when none came. */
+  answered?(status: number): void;
   random(): number;
 }
 
@@ -80,8 +85,12 @@
   #changed = false;
   #stopped = false;
   #timer: Timer | null = null;
+  #wake: (() => void) | null = null;
+  /** When the last report was sent: none follows within `LEAST_APART_MS`. */
+  #reportedAt = Number.NEGATIVE_INFINITY;
   readonly #images = new Set<string>();
-  readonly #clients = new Map<string, HttpClient>();
+  /** The connection to the node that this worker reports to, and that node's name. */
+  #connection: { node: string; client: HttpClient } | null = null;
 
   constructor(readonly options: WorkerOptions) {
     super((asked) => this.#direct(asked));
@@ -101,10 +110,18 @@
     this.#stopped = true;
     this.#timer?.cancel();
     this.#dropAll();
-    for (const client of this.#clients.values()) client.close();
+    this.#connection?.client.close();
     super.stop();
   }
 
+  /** The machine is started anew: its tasks are gone, and its next report begins a session. */
+  restart(): void {
+    this.#dropAll();
+    this.session++;
+    this.#leaseFrom = this.options.clock.now();
+    this.#hasChanged();
+  }
+
   #dropAll(): void {
     for (const task of this.tasks.values()) {
       if (task.status !== "ended") this.#end(task, "killed");
@@ -133,15 +150,44 @@
     };
   }
 
+  /** Until the time is over; a change ends it earlier, but not before the next report may be sent. */
   #pause(ms: number): Promise<void> {
+    const { clock } = this.options;
+    const from = clock.now();
     return new Promise((resolve) => {
-      this.#timer = this.options.clock.after(ms, resolve);
+      const sleepFor = (left: number): void => {
+        this.#timer?.cancel();
+        this.#timer = clock.after(left, () => {
+          this.#wake = null;
+          resolve();
+        });
+      };
+      this.#wake = () => {
+        const left = Math.min(from + ms, this.#reportedAt + LEAST_APART_MS) - clock.now();
+        sleepFor(Math.max(0, left));
+      };
+      if (this.#changed) this.#wake();
+      else sleepFor(ms);
     });
   }
 
+  #hasChanged(): void {
+    this.#changed = true;
+    this.#wake?.();
+  }
+
+  /** A worker has one connection: what it had to another node is closed. */
+  #connect(node: string): HttpClient {
+    if (this.#connection?.node === node) return this.#connection.client;
+    this.#connection?.client.close();
+    const client = new HttpClient(this.options.nodes.get(node)!, 1, this.options.clock);
+    this.#connection = { node, client };
+    return client;
+  }
+
   /** One report after another, each to one node, as PROTOCOL's table of answers says. */
   async #reports(): Promise<void> {
-    const { clock, reportMs, leaseMs, nodes, random } = this.options;
+    const { clock, reportMs, leaseMs, random } = this.options;
     while (!this.#stopped) {
       if (clock.now() - this.#leaseFrom > leaseMs) {
         this.#dropAll();
@@ -152,15 +198,13 @@
       const { session } = this;
       this.#changed = false;
       const name = this.#names[this.#node]!;
-      let client = this.#clients.get(name);
-      if (client === undefined) {
-        client = new HttpClient(nodes.get(name)!, 1, clock);
-        this.#clients.set(name, client);
-      }
+      const client = this.#connect(name);
+      this.#reportedAt = sentAt;
       const answer = this.cut
         ? null
         : await client.call("POST", "/checkin", this.report(), 4000).catch(() => null);
       if (this.#stopped) return;
+      this.options.answered?.(answer?.status ?? 0);
       let pause = reportMs * (0.75 + 0.5 * random());
       const body = answer !== null && !this.cut && isMap(answer.body) ? answer.body : {};
       const next = (): void => {
@@ -181,10 +225,7 @@
         this.#leaseFrom = sentAt;
         this.#execute((body.orders ?? []) as Command[]);
       }
-      for (let waited = 0; waited < pause && !this.#stopped; waited += 50) {
-        if (this.#changed && waited >= 500) break;
-        await this.#pause(50);
-      }
+      await this.#pause(pause);
     }
   }
 
@@ -208,7 +249,7 @@
       else if (order.verb === "clear" && known.status === "ended") this.tasks.delete(order.piece);
       else if (order.verb === "stop" && known.status !== "ended")
         this.#halt(known, order.windDownS);
-      this.#changed = true;
+      this.#hasChanged();
     }
   }
 
@@ -266,7 +307,7 @@
     task.status = "running";
     task.since = options.clock.now();
     task.from = typeof saved === "number" ? saved : 0;
-    this.#changed = true;
+    this.#hasChanged();
     options.tell({ ...this.#event(task), kind: "started" });
     const done = (): void => {
       options.saved.set(piece, "done");
@@ -316,7 +357,7 @@
     task.timer?.cancel();
     task.status = "ended";
     task.cause = cause;
-    this.#changed = true;
+    this.#hasChanged();
     task.child?.kill("SIGKILL");
     if (ran) this.options.tell({ ...this.#event(task), kind: "ended" });
   }
--- a/src/main.ts
+++ b/src/main.ts
@@ -300,6 +300,18 @@
   }
 }
 
+program
+  .command("lab")
+  .description("runs at scale on this machine, with hollow workers; see lab --help")
+  .argument("[words...]")
+  .helpOption(false)
+  .allowUnknownOption()
+  .action(async (words: string[]) => {
+    const { labCommands } = await import("./lab/index.js");
+    const own = fileURLToPath(import.meta.url);
+    await labCommands(program, own).parseAsync(words, { from: "user" });
+  });
+
 program
   .command("local")
   .description("run a whole platform on this machine: state service, cloud, workers, controllers")
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -108,6 +108,14 @@
     const { Counter, Gauge, Histogram, Registry } = (await import("prom-client")).default;
     const registry = new Registry();
     this.#history(Counter, Gauge, registry);
+    new Gauge({
+      name: "birchdale_heap_bytes",
+      help: "JavaScript heap in use",
+      registers: [registry],
+      collect() {
+        this.set(process.memoryUsage().heapUsed);
+      },
+    });
     this.#loaded = {
       registry,
       preempted: new Counter({
