--- a/src/lab/services.ts
+++ b/src/lab/services.ts
@@ -90,6 +90,7 @@
       draw.random,
       () => draw.latencyMs(cloud.latency_ms),
     );
+    this.#cloud.most = region.machines + region.spare_machines;
   }
 
   start(): Promise<string> {
--- a/src/local/cloud.ts
+++ b/src/local/cloud.ts
@@ -46,6 +46,8 @@
   readonly addresses = new Map<string, string>();
   /** Everything but boots and returns of what is there answers 503. */
   outage = false;
+  /** Machines of all types, zones and kinds together. */
+  most = Number.POSITIVE_INFINITY;
   /** Milliseconds that all machines together were held, by those that are gone. */
   heldMs = 0;
   readonly #budget: Budget;
@@ -125,7 +127,7 @@
     const alike = [...this.hosts.values()].filter(
       (host) => host.build === build && host.berth === zone && host.borrowed === borrowed,
     );
-    const count = Math.min(wanted, this.capacity - alike.length);
+    const count = Math.min(wanted, this.capacity - alike.length, this.most - this.hosts.size);
     if (count <= 0) return { status: 503, body: { error: "no capacity" } };
     const names: string[] = [];
     for (let n = 0; n < count; n++) names.push(this.add(type, zone, borrowed === true).uid);
