Images bring back what is set while serving, not by which revision controllers decided

Cause: what a controller says of itself goes with it; restored, it would speak for one that is not there. Measured: test/image.test.ts and image-world pass.

--- a/src/image/restore.ts
+++ b/src/image/restore.ts
@@ -22,7 +22,15 @@
  * Keys that stand for controllers that are up: those are not the same ones any more. Summaries are
  * hints that would be wrong.
  */
-const PASSING = [keys.node(""), keys.accusation(""), "w/p/", "w/s/", "w/r/", keys.restored];
+const PASSING = [
+  keys.node(""),
+  keys.accusation(""),
+  keys.decision(""),
+  "w/p/",
+  "w/s/",
+  "w/r/",
+  keys.restored,
+];
 
 const isClaim = (value: unknown): boolean =>
   typeof value === "object" && value !== null && "node" in value && "run" in value;
