--- a/src/lab/results.ts
+++ b/src/lab/results.ts
@@ -3,7 +3,7 @@
 import type { Histogram } from "hdr-histogram-js";
 import type { Priority } from "../wire/jobs.js";
 import type { History, Violation } from "./history.js";
-import type { ConfigurationDelay, Figures } from "./messages.js";
+import type { ConfigurationDelay, Figures, UserCounts } from "./messages.js";
 import type { Scenario } from "./scenario.js";
 
 /** All processes of one role over the measured window. */
@@ -81,14 +81,7 @@
     repeatedStarts: number;
     endsByCause: Record<string, number>;
   };
-  jobs: {
-    submitted: number;
-    accepted: number;
-    done: number;
-    cancelled: number;
-    failed: number;
-    open: number;
-  };
+  jobs: UserCounts;
   priorities: Partial<Record<Priority, PriorityResults>>;
   state: StateResults[];
   /** Of all regions; each has its own revisions. */
--- a/src/lab/run.ts
+++ b/src/lab/run.ts
@@ -5,7 +5,7 @@
 import type { ControllerProcess, LabProcess } from "./children.js";
 import { Faults } from "./faults.js";
 import { History } from "./history.js";
-import { type Figures, sharedNow } from "./messages.js";
+import { type Figures, sharedNow, type UserCounts } from "./messages.js";
 import { LabPlatform } from "./platform.js";
 import type { ProcessUse, Resources } from "./resources.js";
 import {
@@ -206,9 +206,16 @@
     null,
   ];
   const users = figuresOf("users", after.figures);
-  const jobs = { submitted: 0, accepted: 0, done: 0, cancelled: 0, failed: 0, open: 0 };
+  const jobs: UserCounts = {
+    submitted: 0,
+    accepted: 0,
+    done: 0,
+    cancelled: 0,
+    failed: 0,
+    open: 0,
+  };
   for (const { counts } of users) {
-    for (const name of Object.keys(jobs) as (keyof typeof jobs)[]) jobs[name] += counts[name];
+    for (const name of Object.keys(jobs) as (keyof UserCounts)[]) jobs[name] += counts[name];
   }
   const changes = users.flatMap(({ configuration }) => configuration);
   return {
--- a/test/support/sweep.ts
+++ b/test/support/sweep.ts
@@ -12,11 +12,25 @@
 const SWEEP = "deploy/sweep.lab.toml";
 const TARGET = "deploy/target.lab.toml";
 
-/** By what is changed: the path in the file, and its values. */
-const counts: Record<string, { path: string; values: number[] }> = {
+/** Tasks that end rarely: machines are full, and what waits goes on waiting. */
+const longRuns = [0, 1].flatMap((job) => [
+  `jobs.${job}.run_s.median=600`,
+  `jobs.${job}.run_s.p95=900`,
+  `jobs.${job}.run_s.max=1000`,
+]);
+
+/** By what is changed: the path in the file, its values, and what else differs from the file. */
+const counts: Record<string, { path: string; values: number[]; more?: string[] }> = {
   machines: { path: "regions.0.machines", values: [200, 400, 800] },
   starts: { path: "arrivals.jobs_per_s", values: [0.4, 0.8, 1.6] },
-  open: { path: "arrivals.initial_jobs", values: [20, 300, 900] },
+  // Jobs that are worked on, so starts grow with them.
+  backlog: { path: "arrivals.initial_jobs", values: [20, 300, 900] },
+  // Jobs that wait beside full machines.
+  open: {
+    path: "arrivals.initial_jobs",
+    values: [250, 500, 1000],
+    more: ["arrivals.jobs_per_s=0.02", ...longRuns],
+  },
   teams: { path: "teams.count", values: [40, 80, 130] },
   controllers: { path: "regions.0.controllers", values: [3, 5, 7] },
 };
@@ -32,18 +46,63 @@
     `arrivals.initial_jobs=${whole(420)}`,
     `faults.machine_failures_per_day=${22 * share}`,
     `faults.machine_restarts_per_day=${300 * share}`,
-    "faults.controller_killed_at_s=100000",
-    "faults.machines_lost.at_s=100000",
-    "faults.state_out.at_s=100000",
+    `faults.controller_killed_at_s=${NEVER_S}`,
+    `faults.machines_lost.at_s=${NEVER_S}`,
+    `faults.state_out.at_s=${NEVER_S}`,
+  ];
+}
+
+const NEVER_S = 100_000;
+
+/** Fifty machines with 12 or 40 tasks each, which end rarely or all the time: what a worker says and hears. */
+function workerRuns(): SweepRun[] {
+  const cases = [
+    { tasks: 12, cpus: 1, initial: 25, busyPerS: 2 },
+    { tasks: 40, cpus: 0.3, initial: 85, busyPerS: 6.5 },
+  ];
+  return cases.flatMap(({ tasks, cpus, initial, busyPerS }) =>
+    [
+      { name: `worker idle-${tasks}`, run: { median: 600, p95: 900, max: 1000 }, perS: 0.02 },
+      { name: `worker busy-${tasks}`, run: { median: 10, p95: 15, max: 20 }, perS: busyPerS },
+    ].map(({ name, run, perS }) => ({
+      name,
+      file: SWEEP,
+      set: [
+        "regions.0.machines=50",
+        `arrivals.initial_jobs=${initial}`,
+        `arrivals.jobs_per_s=${perS}`,
+        ...[0, 1].flatMap((job) => [
+          `jobs.${job}.cpus=${cpus}`,
+          `jobs.${job}.memory_gb=0.5`,
+          ...Object.entries(run).map(([key, value]) => `jobs.${job}.run_s.${key}=${value}`),
+        ]),
+      ],
+    })),
+  );
+}
+
+/** The whole with its faults, and with a controller that does not come back. */
+function faultRuns(): SweepRun[] {
+  return [
+    { name: "faults-1", file: TARGET, set: [] },
+    {
+      name: "one lost-1",
+      file: TARGET,
+      set: [
+        ...scaled(1).filter((one) => !one.startsWith("faults.controller")),
+        "faults.controller_killed_at_s=30",
+        `faults.controller_back_after_s=${NEVER_S}`,
+      ],
+    },
   ];
 }
 
 export function sweepRuns(): SweepRun[] {
-  const runs = Object.entries(counts).flatMap(([name, { path, values }]) =>
+  const runs = Object.entries(counts).flatMap(([name, { path, values, more = [] }]) =>
     values.map((value) => ({
       name: `${name}-${value}`,
       file: SWEEP,
-      set: [`${path}=${value}`],
+      set: [`${path}=${value}`, ...more],
     })),
   );
   const sizes = [0.1, 0.25, 0.5, 1].map((share) => ({
@@ -51,7 +110,7 @@
     file: TARGET,
     set: scaled(share),
   }));
-  return [...runs, ...sizes];
+  return [...runs, ...workerRuns(), ...sizes, ...faultRuns()];
 }
 
 /** What a run costs: by name, with its unit. */
