Lab: controllers that end by themselves are told and come back; ports that platforms side by side do not share

Cause: of three runs side by side one had two regions with a controller that had not come up, its port taken by another run; the run did not say so. Changes of configuration that are not made are counted with their reasons.

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -10,7 +10,7 @@
   viewOf,
 } from "./api.js";
 export { Author, type ChangeRequest, type ChangeResult } from "./author.js";
-export { ConfigurationClient } from "./client.js";
+export { ConfigurationClient, Overtaken } from "./client.js";
 export {
   type BaseConfiguration,
   differences,
--- a/src/lab/children.ts
+++ b/src/lab/children.ts
@@ -106,8 +106,9 @@
 export class ControllerProcess {
   readonly use = new ProcessUse();
   #child: ChildProcess | null = null;
-  /** Why it ended by itself, if it did. */
-  ended: string | null = null;
+  #again: NodeJS.Timeout | null = null;
+  /** Why it ended by itself, each time that it did. */
+  readonly ends: string[] = [];
 
   constructor(
     readonly name: string,
@@ -117,6 +118,8 @@
     /** Files: its settings, and the operators' own. */
     readonly settings: string,
     readonly tuning: string | null,
+    /** After it has ended by itself, milliseconds. */
+    readonly backAfterMs: number,
   ) {}
 
   start(): void {
@@ -137,7 +140,11 @@
     const child = this.#child;
     child.on("error", () => undefined);
     child.once("exit", (code, signal) => {
-      if (this.#child === child) this.ended = `${this.name} ended with ${signal ?? code}`;
+      if (this.#child !== child) return;
+      this.ends.push(`${this.name} ended with ${signal ?? code}`);
+      this.use.sample();
+      // As on a real platform, it is back some seconds later.
+      this.#again = setTimeout(() => this.start(), this.backAfterMs);
     });
     this.use.follow(child.pid);
   }
@@ -145,6 +152,7 @@
   /** Ends without a signal that it could act on. */
   kill(): Promise<void> {
     this.use.sample();
+    if (this.#again !== null) clearTimeout(this.#again);
     const child = this.#child;
     this.#child = null;
     return child === null ? Promise.resolve() : endChild(child);
--- a/src/lab/configuration.ts
+++ b/src/lab/configuration.ts
@@ -1,7 +1,7 @@
 /** Changes of configuration in a run: one author, and how long until each is in force everywhere. */
 import { randomUUID } from "node:crypto";
 import { type Clock, sleep } from "../clock.js";
-import { ConfigurationClient, type ConfiguredTeam } from "../configuration/index.js";
+import { ConfigurationClient, type ConfiguredTeam, Overtaken } from "../configuration/index.js";
 import type { HttpClient } from "../http/client.js";
 import type { Draw } from "./draw.js";
 import { type ConfigurationDelay, type RegionalTeam, sharedNow } from "./messages.js";
@@ -14,6 +14,8 @@
 
 export class ConfigurationAuthor {
   readonly delays: ConfigurationDelay[] = [];
+  /** Why changes were not made, as far as this author was told. */
+  readonly failures: string[] = [];
   readonly #client: ConfigurationClient;
   /** Made, and not known to be in force yet: by revision. */
   readonly #pending = new Map<number, ConfigurationDelay>();
@@ -38,10 +40,16 @@
     const perS = (this.setting.changes_per_day * this.setting.speed) / DAY_S;
     for (;;) {
       await sleep(this.clock, this.draw.waitMs(perS));
-      await this.#change().catch(() => undefined);
+      await this.#change().catch((error: unknown) => this.#failed(error));
     }
   }
 
+  #failed(error: unknown): void {
+    this.failures.push((error as Error).message);
+    // An earlier change whose answer was lost has been made.
+    if (error instanceof Overtaken) this.#base = error.revision;
+  }
+
   async #change(): Promise<void> {
     const team = this.teams[this.draw.index(this.teams.length)]!;
     const committedAt = sharedNow();
--- a/src/lab/messages.ts
+++ b/src/lab/messages.ts
@@ -64,7 +64,7 @@
   | { role: "state"; use: StateUse; keys: number; bytesKept: number }
   | { role: "cloud"; machines: number; heldMs: number }
   | { role: "workers"; traffic: WorkerTraffic; tasks: number }
-  | { role: "users"; counts: UserCounts; configuration: ConfigurationDelay[] };
+  | { role: "users"; counts: UserCounts; configuration: ConfigurationDelay[]; failures: string[] };
 
 export type ToProcess =
   | { kind: "begin"; assignment: Assignment }
--- a/src/lab/platform.ts
+++ b/src/lab/platform.ts
@@ -185,7 +185,15 @@
     return nodes.map((node) => {
       const file = join(this.#folder, `${node.name}.toml`);
       writeFileSync(file, settingsText(node, nodes, services, params));
-      return new ControllerProcess(node.name, node.listen, program, command, file, tuning);
+      return new ControllerProcess(
+        node.name,
+        node.listen,
+        program,
+        command,
+        file,
+        tuning,
+        scenario.faults.controller_back_after_s * 1000,
+      );
     });
   }
 
@@ -194,8 +202,8 @@
     const clients = controllers.map(({ listen }) => new HttpClient(listen, 1, systemClock));
     try {
       while (systemClock.now() < until) {
-        const over = controllers.find(({ ended }) => ended !== null);
-        if (over !== undefined) throw new Error(over.ended!);
+        const [end] = controllers.flatMap(({ ends }) => ends);
+        if (end !== undefined) throw new Error(end);
         for (const client of clients) {
           const answer = await client
             .call("GET", "/healthz", undefined, PROBE_MS * 5)
--- a/src/lab/results.ts
+++ b/src/lab/results.ts
@@ -85,8 +85,15 @@
   priorities: Partial<Record<Priority, PriorityResults>>;
   state: StateResults[];
   /** Of all regions; each has its own revisions. */
-  configuration: { changes: number; notInForce: number; inForceMs: Delays } | null;
+  configuration: {
+    changes: number;
+    notInForce: number;
+    failures: string[];
+    inForceMs: Delays;
+  } | null;
   violations: Violation[];
+  /** Controllers that ended by themselves, and how. */
+  controllerEnds: string[];
 }
 
 export const delaysOf = (histogram: Histogram): Delays => ({
@@ -179,15 +186,21 @@
 
 export function configurationResults(
   delays: readonly ConfigurationDelay[],
+  failures: readonly string[],
   histogram: Histogram,
 ): LabResults["configuration"] {
-  if (delays.length === 0) return null;
+  if (delays.length === 0 && failures.length === 0) return null;
   let notInForce = 0;
   for (const { inForceMs } of delays) {
     if (inForceMs === null) notInForce++;
     else histogram.recordValue(Math.max(1, Math.round(inForceMs)));
   }
-  return { changes: delays.length, notInForce, inForceMs: delaysOf(histogram) };
+  return {
+    changes: delays.length,
+    notInForce,
+    failures: [...failures],
+    inForceMs: delaysOf(histogram),
+  };
 }
 
 export const machineOf = (): LabResults["machine"] => ({
@@ -266,12 +279,13 @@
       `${jobs.cancelled} cancelled, ${jobs.failed} failed, ${jobs.open} open`,
   ];
   if (configuration !== null) {
-    const { changes, notInForce, inForceMs } = configuration;
+    const { changes, notInForce, failures, inForceMs } = configuration;
     parts.push(
       `configuration: ${changes} changes, in force p50 ${inForceMs.p50} ms, p99 ${inForceMs.p99}, ` +
-        `most ${inForceMs.max}, ${notInForce} not yet`,
+        `most ${inForceMs.max}, ${notInForce} not yet, ${failures.length} not made ${failures[0] ?? ""}`,
     );
   }
+  for (const end of results.controllerEnds) parts.push(`by itself: ${end}`);
   const broken = violations.map(({ rule, detail }) => `broken: ${rule}: ${detail}`);
   parts.push(broken.length === 0 ? "no rule broken" : broken.slice(0, 20).join("\n"));
   return `${results.label}\n\n${parts.slice(0, 3).join("\n\n")}\n\n${parts.slice(3).join("\n")}\n`;
--- a/src/lab/run.ts
+++ b/src/lab/run.ts
@@ -240,8 +240,10 @@
     state,
     configuration: configurationResults(
       changes.filter(({ committedAt }) => committedAt >= before.at),
+      users.flatMap(({ failures }) => failures),
       build({ highestTrackableValue: LONGEST_MS, numberOfSignificantValueDigits: 3 }),
     ),
     violations: history.violations,
+    controllerEnds: platform.controllers.flatMap(({ ends }) => ends),
   };
 }
--- a/src/lab/users.ts
+++ b/src/lab/users.ts
@@ -175,6 +175,7 @@
       role: "users",
       counts: { ...this.#counts },
       configuration: [...(this.#author?.delays ?? [])],
+      failures: [...(this.#author?.failures ?? [])],
     };
   }
 }
--- a/src/local/platform.ts
+++ b/src/local/platform.ts
@@ -50,15 +50,23 @@
   },
 ];
 
-/** A port of loopback that nobody listens on now. */
-export function freePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
+/** Below what systems give to outgoing connections, one of which may take a port meanwhile. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_000;
+
+/** A port of loopback that nobody listens on now, drawn so that platforms side by side rarely meet. */
+export async function freePort(): Promise<number> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (await isFree(port)) return port;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      server.close(() => resolve(typeof address === "object" ? address!.port : 0));
-    });
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
 
