--- a/src/lab/run.ts
+++ b/src/lab/run.ts
@@ -24,6 +24,8 @@
 const METRICS_MS = 2000;
 const MB = 1024 * 1024;
 const LONGEST_MS = 600_000;
+/** Resident memory of all processes of a run together. */
+const MOST_MB = 8192;
 
 export interface RunOptions {
   scenario: Scenario;
@@ -31,6 +33,8 @@
   program: string;
   /** Progress, a line at a time. */
   say(text: string): void;
+  /** More resident memory of all processes ends the run; 8 GB if it is not given. */
+  mostMb?: number;
 }
 
 /** All processes of one role, with what they had used by some moment. */
@@ -62,7 +66,7 @@
 
 /** @throws Error when something does not come up; all that was started has ended then */
 export async function runScenario(
-  { scenario, program, say }: RunOptions,
+  { scenario, program, say, mostMb = MOST_MB }: RunOptions,
   signal: AbortSignal,
 ): Promise<LabResults> {
   const { teams, workers } = scenario;
@@ -79,7 +83,7 @@
   try {
     say("starting");
     await platform.start();
-    return await measure(platform, history, faults, say, signal);
+    return await measure(platform, history, faults, { say, mostMb }, signal);
   } finally {
     faults.stop();
     await platform.end();
@@ -90,10 +94,12 @@
   platform: LabPlatform,
   history: History,
   faults: Faults,
-  say: (text: string) => void,
+  { say, mostMb }: Required<Pick<RunOptions, "say" | "mostMb">>,
   signal: AbortSignal,
 ): Promise<LabResults> {
   const { scenario } = platform;
+  const tooLarge = new AbortController();
+  const ends = AbortSignal.any([signal, tooLarge.signal]);
   const startedAt = sharedNow();
   const from = startedAt + scenario.warmup_s * 1000;
   history.measure(from, from + scenario.length_s * 1000);
@@ -101,14 +107,17 @@
   faults.start();
   const progress = setInterval(() => {
     const seconds = Math.round((sharedNow() - startedAt) / 1000);
-    for (const { uses } of rolesOf(platform)) for (const use of uses) use.sample();
+    const mb = residentMb(platform);
+    if (mb > mostMb)
+      tooLarge.abort(new Error(`the run holds ${Math.round(mb)} MB, at most ${mostMb}`));
     say(`${seconds} s: ${platform.up.size} machines, ${history.running} tasks running`);
   }, PROGRESS_MS);
   try {
-    await wait(from - sharedNow(), signal);
+    await wait(from - sharedNow(), ends);
     const before = await sample(platform);
     say("measuring");
-    await wait(from + scenario.length_s * 1000 - sharedNow(), signal);
+    await wait(from + scenario.length_s * 1000 - sharedNow(), ends);
+    tooLarge.signal.throwIfAborted();
     const after = await sample(platform);
     const heaps = await Promise.all(platform.controllers.map(heapOf));
     return resultsOf(platform, history, before, after, heaps, !signal.aborted);
@@ -128,6 +137,15 @@
   ];
 }
 
+/** Of all processes that the run has started; sampled, so that peaks are seen as well. */
+function residentMb(platform: LabPlatform): number {
+  let sum = 0;
+  for (const { uses } of rolesOf(platform)) {
+    for (const use of uses) sum += use.sample().residentMb;
+  }
+  return sum;
+}
+
 async function sample(platform: LabPlatform): Promise<Sample> {
   const figures = await Promise.all(platform.processes.map((one) => one.sample()));
   const roles = rolesOf(platform).map(({ role, uses }) => ({
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -287,6 +287,14 @@
   assert.deepEqual(children(), before);
 });
 
+test("lab: a run that holds more memory than it may ends with the figures, and all that it started", async () => {
+  const before = children();
+  const options = { scenario: tiny(["length_s=60"]), program: PROGRAM, say: () => undefined };
+  const run = runScenario({ ...options, mostMb: 100 }, new AbortController().signal);
+  await assert.rejects(run, /^Error: the run holds \d+ MB, at most 100$/);
+  assert.deepEqual(children(), before);
+});
+
 test("lab: a controller that does not come up ends the run with a reason, and all that it started", async () => {
   const before = children();
   const scenario = tiny(["controllers.tuning=nonsense"]);
--- a/test/mixed.test.ts
+++ b/test/mixed.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { keys } from "../src/state/keys.js";
 import { AFTER, BEFORE } from "./support/common.js";
+import { ConfiguredWorld } from "./support/configured.js";
 import { fault } from "./support/faults.js";
 import { buildProgram, hasHistory, type Program, productionCommit } from "./support/production.js";
 import { Random } from "./support/random.js";
@@ -97,3 +99,33 @@
       );
   });
 }
+
+test("upgrade: no revision while production serves, by name; beside one, production ends", {
+  skip,
+}, async () => {
+  const old = await buildProgram(commit);
+  const world = new ConfiguredWorld(31, 3);
+  const replaceLast = async (program: Program | null): Promise<void> => {
+    world.programs = (n) => (n === 2 ? program : null);
+    world.crash(2, 1000);
+    await world.clock.run(10_000);
+  };
+  await world.ready();
+  world.busy(20);
+  await replaceLast(old);
+  assert.ok(world.state.rows.has(keys.node("n2")));
+  const early = world.change(0, { teams: [{ name: "red", weight: 2 }], groups: [] }, 0);
+  await world.clock.run(2000);
+  assert.equal((await early)?.status, 503);
+  assert.match(JSON.stringify((await early)?.body), /follow revisions: n2/);
+  await replaceLast(null);
+  const made = world.limit("red", 8);
+  await world.clock.run(6000);
+  assert.equal(await made, 1);
+  // Rolled back by mistake: it holds nothing, and says nothing of itself.
+  await replaceLast(old);
+  assert.ok(!world.deciders().has("n2"));
+  assert.ok(!world.state.rows.has(keys.node("n2")));
+  assert.deepEqual(world.violations, []);
+  world.stop();
+});
--- a/test/support/sweep.ts
+++ b/test/support/sweep.ts
@@ -62,8 +62,8 @@
   ];
   return cases.flatMap(({ tasks, cpus, initial, busyPerS }) =>
     [
-      { name: `worker idle-${tasks}`, run: { median: 600, p95: 900, max: 1000 }, perS: 0.02 },
-      { name: `worker busy-${tasks}`, run: { median: 10, p95: 15, max: 20 }, perS: busyPerS },
+      { name: `worker_idle-${tasks}`, run: { median: 600, p95: 900, max: 1000 }, perS: 0.02 },
+      { name: `worker_busy-${tasks}`, run: { median: 10, p95: 15, max: 20 }, perS: busyPerS },
     ].map(({ name, run, perS }) => ({
       name,
       file: SWEEP,
@@ -86,7 +86,7 @@
   return [
     { name: "faults-1", file: TARGET, set: [] },
     {
-      name: "one lost-1",
+      name: "one_lost-1",
       file: TARGET,
       set: [
         ...scaled(1).filter((one) => !one.startsWith("faults.controller")),
@@ -94,6 +94,18 @@
         `faults.controller_back_after_s=${NEVER_S}`,
       ],
     },
+    // As many machines as a zone has, in whatever zones, and a controller for good.
+    {
+      name: "zone_lost-1",
+      file: TARGET,
+      set: [
+        ...scaled(1).filter((one) => !/^faults\.(controller|machines_lost)/.test(one)),
+        "faults.controller_killed_at_s=60",
+        `faults.controller_back_after_s=${NEVER_S}`,
+        "faults.machines_lost.at_s=60",
+        "faults.machines_lost.count=229",
+      ],
+    },
   ];
 }
 
