--- a/src/lab/faults.ts
+++ b/src/lab/faults.ts
@@ -1,4 +1,5 @@
 /** Faults of a run at their times: a controller killed, machines lost, the state service out. */
+import { JobClient } from "../client/client.js";
 import type { Timer } from "../clock.js";
 import { systemClock } from "../clock.js";
 import { Draw } from "./draw.js";
@@ -24,6 +25,8 @@
   start(): void {
     const { faults } = this.platform.scenario;
     const { controller_killed_at_s: killedAtS, machines_lost: lost, state_out: out } = faults;
+    const { controller_drained_at_s: drainedAtS } = faults;
+    if (drainedAtS !== undefined) this.#at(drainedAtS, () => void this.#drainController());
     if (killedAtS !== undefined) this.#at(killedAtS, () => this.#killController());
     if (lost !== undefined) this.#at(lost.at_s, () => this.#loseMachines(lost.count));
     if (out !== undefined) {
@@ -59,6 +62,20 @@
     this.#at(scenario.faults.controller_back_after_s, () => victim.start());
   }
 
+  async #drainController(): Promise<void> {
+    const { controllers } = this.platform;
+    const { name, listen } = controllers[this.#draw.index(controllers.length)]!;
+    const client = new JobClient(listen);
+    try {
+      await client.drain(true);
+      this.say(`controller ${name} drained`);
+    } catch (error) {
+      this.say(`controller ${name} not drained: ${(error as Error).message}`);
+    } finally {
+      client.close();
+    }
+  }
+
   #loseMachines(count: number): void {
     const lost: string[] = [];
     const left = [...this.platform.up];
--- a/src/lab/results.ts
+++ b/src/lab/results.ts
@@ -22,6 +22,15 @@
   kbOutPerS: number;
 }
 
+/** One controller over the window, and what it was at its end. */
+export interface ControllerFigures {
+  name: string;
+  cores: number;
+  residentMb: number;
+  leads: boolean;
+  parts: number;
+}
+
 /** Milliseconds. */
 export interface Delays {
   count: number;
@@ -73,6 +82,7 @@
   complete: boolean;
   windowS: number;
   roles: RoleFigures[];
+  controllers: ControllerFigures[];
   worker: WorkerResults;
   tasks: {
     running: number;
--- a/src/lab/run.ts
+++ b/src/lab/run.ts
@@ -1,5 +1,6 @@
 /** One run: starts the platform, warms up, measures, and ends all that it started. */
 import { build } from "hdr-histogram-js";
+import { JobClient } from "../client/client.js";
 import { systemClock } from "../clock.js";
 import { HttpClient } from "../http/client.js";
 import type { ControllerProcess, LabProcess } from "./children.js";
@@ -119,8 +120,8 @@
     await wait(from + scenario.length_s * 1000 - sharedNow(), ends);
     tooLarge.signal.throwIfAborted();
     const after = await sample(platform);
-    const heaps = await Promise.all(platform.controllers.map(heapOf));
-    return resultsOf(platform, history, before, after, heaps, !signal.aborted);
+    const said = await Promise.all(platform.controllers.map(saidBy));
+    return resultsOf(platform, history, before, after, said, !signal.aborted);
   } finally {
     clearInterval(progress);
   }
@@ -156,17 +157,36 @@
   return { at: sharedNow(), roles, figures };
 }
 
-/** A controller's heap in use, MB; null when it does not say. */
-async function heapOf({ listen }: ControllerProcess): Promise<number | null> {
-  const client = new HttpClient(listen, 1, systemClock);
+/** What a controller says of itself at the end of the window. */
+interface Said {
+  /** Heap in use, MB; null when it does not say. */
+  heapMb: number | null;
+  leads: boolean;
+  parts: number;
+}
+
+interface StatusView {
+  node: string;
+  leads: boolean;
+  parts: { owner: string | null }[];
+}
+
+async function saidBy({ listen }: ControllerProcess): Promise<Said> {
+  const http = new HttpClient(listen, 1, systemClock);
+  const jobs = new JobClient(listen, systemClock, http);
   try {
-    const text = await client.text("/metrics", METRICS_MS);
+    const text = await http.text("/metrics", METRICS_MS);
     const found = /^birchdale_heap_bytes (\S+)$/m.exec(text);
-    return found === null ? null : Number(found[1]) / MB;
+    const { node, leads, parts } = (await jobs.status()) as StatusView;
+    return {
+      heapMb: found === null ? null : Number(found[1]) / MB,
+      leads,
+      parts: parts.filter(({ owner }) => owner === node).length,
+    };
   } catch {
-    return null;
+    return { heapMb: null, leads: false, parts: 0 };
   } finally {
-    client.close();
+    http.close();
   }
 }
 
@@ -199,10 +219,11 @@
   history: History,
   before: Sample,
   after: Sample,
-  heaps: (number | null)[],
+  said: readonly Said[],
   complete: boolean,
 ): LabResults {
   const { scenario, regions } = platform;
+  const heaps = said.map(({ heapMb }) => heapMb);
   const seconds = Math.max(0.001, (after.at - before.at) / 1000);
   const state = regions.map(({ region }, i) => {
     // Of each region: state service, cloud, users, in this order.
@@ -245,6 +266,11 @@
     roles: after.roles.map((role, i) =>
       roleFigures(before.roles[i]!, role, seconds, i === 0 ? heaps : [], requests[i]!),
     ),
+    controllers: platform.controllers.map(({ name }, i) => {
+      const { cpuS, residentMb } = after.roles[0]!.resources[i]!;
+      const cores = (cpuS - before.roles[0]!.resources[i]!.cpuS) / seconds;
+      return { name, cores, residentMb, leads: said[i]!.leads, parts: said[i]!.parts };
+    }),
     worker,
     tasks: {
       running: history.running,
--- a/src/lab/scenario.ts
+++ b/src/lab/scenario.ts
@@ -99,6 +99,8 @@
       /** Seconds from the start of the run, as everywhere here. */
       controller_killed_at_s: amount.optional(),
       controller_back_after_s: positive.default(5),
+      /** One controller gives away what it owns, and only answers users from then on. */
+      controller_drained_at_s: amount.optional(),
       machines_lost: z.strictObject({ at_s: amount, count }).optional(),
       state_out: z.strictObject({ at_s: amount, length_s: positive }).optional(),
       machine_failures_per_day: amount.default(0),
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -271,6 +271,12 @@
   assert.equal(results.worker.workers > 0 && results.worker.bytesOutPerS > 0, true);
   for (const { role, cores, residentMb } of results.roles)
     assert.ok(cores >= 0 && residentMb > 10, role);
+  // One leader in each region, and every part has an owner.
+  assert.equal(results.controllers.filter(({ leads }) => leads).length, 3);
+  assert.equal(
+    results.controllers.reduce((sum, { parts }) => sum + parts, 0),
+    7,
+  );
   assert.ok(results.state.every(({ requestsPerS }) => requestsPerS > 0));
   assert.deepEqual(children(), before);
 });
--- a/test/support/sweep.ts
+++ b/test/support/sweep.ts
@@ -94,6 +94,11 @@
         `faults.controller_back_after_s=${NEVER_S}`,
       ],
     },
+    {
+      name: "drained-1",
+      file: TARGET,
+      set: [...scaled(1), "faults.controller_drained_at_s=30"],
+    },
     // As many machines as a zone has, in whatever zones, and a controller for good.
     {
       name: "zone_lost-1",
