Revisions: pieces in force are never removed late, a flood of them keeps nobody from placing; lab, quota and tests tidied

Cause, found in reading the change again: pieces of old revisions were removed without a condition, so a removal that is applied late could take those of a revision made since; and changes of configuration were written whatever the budget said: with one every 100 ms the controllers' budgets were 49 bursts in debt, and nothing else was written for most of a minute (simulated; a test that had passed by a hair failed by it).

Change: removal depends on the head, and waits for budget; a revision is answered 503 beyond a debt of one burst, as submissions are. Guests are named in place of being guessed by their place in the tree. History is read in one place, by number. What a part needs of a limit is worked out only where it has a surplus, and a shape that finds no machine is looked for once a pass.

--- a/src/configuration/api.ts
+++ b/src/configuration/api.ts
@@ -5,13 +5,12 @@
 import { keys } from "../state/keys.js";
 import { isMap } from "../wire/cbor.js";
 import type { Author, ChangeRequest, ChangeResult } from "./author.js";
+import { historyUpTo } from "./history.js";
 import type { LiveConfiguration } from "./live.js";
 import {
   bytesOf,
   type Decision,
-  type HistoryEntry,
   isDecision,
-  isHistoryEntry,
   isOverrides,
   isRequestId,
   MOST_AUTHOR,
@@ -66,14 +65,6 @@
   };
 }
 
-/** The revisions that are kept, the oldest first. */
-export function historyOf({ mirror }: Core): HistoryEntry[] {
-  const entries = [...mirror.rows]
-    .filter(([key]) => key.startsWith(keys.configurationHistory))
-    .flatMap(([, { value }]) => (isHistoryEntry(value) ? [value] : []));
-  return entries.sort((a, b) => a.revision - b.revision);
-}
-
 function controllersOf({ layout, mirror, claims }: Core): ControllerRevision[] {
   const parts = new Map<string, number>();
   for (let part = 0; part < layout.parts; part++) {
@@ -152,7 +143,15 @@
     ],
     [
       historyPath,
-      [{ method: "GET", run: () => ({ status: 200, body: { history: historyOf(core) } }) }],
+      [
+        {
+          method: "GET",
+          run: () => ({
+            status: 200,
+            body: { history: historyUpTo(core.mirror, live.head?.revision ?? 0) },
+          }),
+        },
+      ],
     ],
   ]);
   return (path) => {
--- a/src/configuration/author.ts
+++ b/src/configuration/author.ts
@@ -13,6 +13,7 @@
   merge,
   warningsOf,
 } from "./effective.js";
+import { HISTORY_LENGTH, historyUpTo } from "./history.js";
 import type { LiveConfiguration } from "./live.js";
 import {
   type Authorship,
@@ -21,13 +22,10 @@
   type Head,
   type HistoryEntry,
   isHead,
-  isHistoryEntry,
   type Overrides,
   type Piece,
 } from "./records.js";
 
-/** Revisions whose entries are kept. */
-const HISTORY_LENGTH = 50;
 /** Bytes of a value that stay free: for what a store may add. */
 const SPARE_BYTES = 128;
 /** How often a commit is tried while presence or pieces change in between. */
@@ -112,12 +110,10 @@
 
   /** A request that was carried out before its answer was lost. */
   #madeBefore(id: string): ChangeResult | null {
-    for (const [key, { value }] of this.core.mirror.rows) {
-      if (!key.startsWith(keys.configurationHistory) || !isHistoryEntry(value)) continue;
-      if (value.id === id)
-        return { kind: "applied", revision: value.revision, changes: value.changes, warnings: [] };
-    }
-    return null;
+    const entries = historyUpTo(this.core.mirror, this.live.head?.revision ?? 0);
+    const entry = entries.find((one) => one.id === id);
+    if (entry === undefined) return null;
+    return { kind: "applied", revision: entry.revision, changes: entry.changes, warnings: [] };
   }
 
   /**
@@ -171,6 +167,8 @@
     // The head is a condition as well.
     if (pieces === null || pieces.length > conditions - 1)
       return "there is more configuration than the state service's limits hold";
+    // As for submissions: a debt of one burst, so that placing is not kept from its changes for long.
+    if (store.writes.level <= -store.writes.burst) return "too many changes at once; try again";
     const { id, by, why, base } = request;
     const revision = base + 1;
     const at = Math.round(clock.wall());
@@ -191,7 +189,7 @@
     const result = await store.transact(when, then);
     if (result.ok) {
       await mirror.reached(result.revision);
-      void this.#tidy(id).catch(() => undefined);
+      void this.#tidy(revision, result.revision).catch(() => undefined);
       return true;
     }
     await mirror.reached(result.revision);
@@ -220,14 +218,18 @@
     return written;
   }
 
-  /** Removes pieces of revisions that are over; of the one just overtaken they stay for late readers. */
-  async #tidy(id: string): Promise<void> {
+  /**
+   * Removes pieces of revisions that are over; of the one just overtaken they stay for late readers.
+   * Only while the head is as it was: pieces that another author has written may be in force by the
+   * time that a late transaction is applied.
+   */
+  async #tidy(revision: number, headVersion: number): Promise<void> {
     const { store, mirror } = this.core;
-    const entries = [...mirror.rows]
-      .filter(([key]) => key.startsWith(keys.configurationHistory))
-      .flatMap(([, { value }]) => (isHistoryEntry(value) ? [value] : []));
-    const newest = entries.sort((a, b) => b.revision - a.revision).slice(0, 2);
-    const kept = new Set([id, ...newest.map((entry) => entry.id)]);
+    const kept = new Set(
+      historyUpTo(mirror, revision)
+        .slice(-2)
+        .map(({ id }) => id),
+    );
     const old: Change[] = [];
     for (const key of mirror.rows.keys()) {
       const owner = keys.ownerOfPiece(key);
@@ -235,8 +237,10 @@
     }
     for (let from = 0; from < old.length; from += store.limits.ops) {
       const some = old.slice(from, from + store.limits.ops);
-      store.writes.force(some.length);
-      await store.transact([], some);
+      // What stays goes with a later revision.
+      if (!store.writes.take(some.length)) return;
+      const when = [{ key: keys.configurationHead, version: headVersion }];
+      if (!(await store.transact(when, some)).ok) return;
     }
   }
 }
--- a/src/configuration/effective.ts
+++ b/src/configuration/effective.ts
@@ -7,6 +7,8 @@
 /** What a controller starts with: the platform's teams, and the tree that the files at start make. */
 export interface BaseConfiguration {
   teams: readonly Team[];
+  /** Names of packages' teams, which the platform does not list. */
+  guests: readonly string[];
   groups: readonly Group[];
 }
 
@@ -107,15 +109,10 @@
   return null;
 }
 
-/** Teams and guests in a tree: what is nobody's parent and was listed as a member. */
-function leavesOf({ teams, groups }: BaseConfiguration): Group[] {
-  const named = new Set(teams.map(({ name }) => name));
-  const parents = new Set(groups.map(({ parent }) => parent));
-  // Guests follow the teams; a group without members comes before them.
-  const first = groups.findIndex(({ name }) => named.has(name));
-  return groups.filter(
-    ({ name }, at) => named.has(name) || (first >= 0 && at > first && !parents.has(name)),
-  );
+/** Teams and guests in the tree; all others in it are groups. */
+function leavesOf({ teams, guests, groups }: BaseConfiguration): Group[] {
+  const named = new Set([...teams.map(({ name }) => name), ...guests]);
+  return groups.filter(({ name }) => named.has(name));
 }
 
 /** What holds under overrides that `faultOf` finds nothing wrong with. */
--- /dev/null
+++ b/src/configuration/history.ts
@@ -0,0 +1,18 @@
+/** The revisions that are kept, for people and to know requests that were carried out before. */
+import { keys } from "../state/keys.js";
+import type { Mirror } from "../state/mirror.js";
+import { type HistoryEntry, isHistoryEntry } from "./records.js";
+
+/** Revisions whose entries are kept. */
+export const HISTORY_LENGTH = 50;
+
+/** The entries up to a revision, the oldest first; those that cannot be read are left out. */
+export function historyUpTo(mirror: Pick<Mirror, "rows">, newest: number): HistoryEntry[] {
+  const entries: HistoryEntry[] = [];
+  const oldest = Math.max(1, newest - HISTORY_LENGTH + 1);
+  for (let revision = oldest; revision <= newest; revision++) {
+    const value = mirror.rows.get(keys.configurationEntry(revision))?.value;
+    if (isHistoryEntry(value)) entries.push(value);
+  }
+  return entries;
+}
--- a/src/configuration/live.ts
+++ b/src/configuration/live.ts
@@ -197,7 +197,9 @@
     const value = this.#decision;
     const said = mirror.rows.get(key)?.value;
     if (isDecision(said) && JSON.stringify(said) === JSON.stringify(value)) return;
-    if (!store.writes.take(1)) return;
+    // Before placing, so that a revision is known to be in force soon; it is one change at a time.
+    if (store.writes.level <= -store.writes.burst) return;
+    store.writes.force(1);
     this.#saying = true;
     try {
       const { revision } = await store.transact([], [{ put: key, value, lease }]);
--- a/src/controller/configured.ts
+++ b/src/controller/configured.ts
@@ -25,11 +25,12 @@
   ) {
     const { settings, mirror, store, clock, log, claims } = core;
     const { teams, workers } = settings.params;
-    const base: BaseConfiguration = { teams, groups: tuning.groups };
     const reportMs = workers.report_s * 1000;
     this.#guests = new Map(
       extensions.flatMap((extension) => extension.teams.map(({ name, most }) => [name, most])),
     );
+    const guests = [...this.#guests.keys()];
+    const base: BaseConfiguration = { teams, guests, groups: tuning.groups };
     this.live = new LiveConfiguration({
       base,
       mirror,
--- a/src/lab/configuration.ts
+++ b/src/lab/configuration.ts
@@ -3,8 +3,9 @@
 import { type Clock, sleep } from "../clock.js";
 import { ConfigurationClient, type ConfiguredTeam, Overtaken } from "../configuration/index.js";
 import type { HttpClient } from "../http/client.js";
+import type { Team } from "../settings/settings.js";
 import type { Draw } from "./draw.js";
-import { type ConfigurationDelay, type RegionalTeam, sharedNow } from "./messages.js";
+import { type ConfigurationDelay, sharedNow } from "./messages.js";
 
 const DAY_S = 86_400;
 const POLL_MS = 100;
@@ -25,7 +26,7 @@
     caller: HttpClient,
     readonly clock: Clock,
     readonly draw: Draw,
-    readonly teams: readonly RegionalTeam[],
+    readonly teams: readonly Team[],
     readonly setting: { changes_per_day: number; speed: number },
   ) {
     this.#client = new ConfigurationClient("", clock, caller);
@@ -67,7 +68,7 @@
     this.#pending.set(revision, delay);
   }
 
-  #drawn({ name, cpus, cpus_max }: RegionalTeam): ConfiguredTeam {
+  #drawn({ name, cpus, cpus_max }: Team): ConfiguredTeam {
     const share = LEAST_LIMIT + (1 - LEAST_LIMIT) * this.draw.random();
     return {
       name,
--- a/src/lab/messages.ts
+++ b/src/lab/messages.ts
@@ -1,5 +1,6 @@
 /** What the run and its processes tell each other, as JSON over Node's channel to a child. */
 import type { CloudType, Host, StateUse, TaskEvent, Uploaded } from "../local/index.js";
+import type { Team } from "../settings/settings.js";
 import type { Priority } from "../wire/jobs.js";
 import type { Region, Scenario } from "./scenario.js";
 
@@ -11,15 +12,6 @@
 /** A task's start or end on a hollow worker, with the shared time; its host as `region/name`. */
 export type TimedEvent = TaskEvent & { at: number };
 
-/** A team in one region. */
-export interface RegionalTeam {
-  name: string;
-  cpus: number;
-  cpus_max: number;
-  gpus: number;
-  gpus_max: number;
-}
-
 /** What a process of the lab begins with. */
 export interface Assignment {
   role: Role;
@@ -30,7 +22,7 @@
   seed: number;
   /** Addresses of controllers by name; of this region, or for workers by region. */
   nodes: Record<string, Record<string, string>>;
-  teams: RegionalTeam[];
+  teams: Team[];
 }
 
 /** Use of the network by one process's hollow workers, since it began. */
@@ -53,6 +45,15 @@
   open: number;
 }
 
+export const noCounts = (): UserCounts => ({
+  submitted: 0,
+  accepted: 0,
+  done: 0,
+  cancelled: 0,
+  failed: 0,
+  open: 0,
+});
+
 /** When a change of configuration was asked for, and how long until all decided by it. */
 export interface ConfigurationDelay {
   committedAt: number;
--- a/src/lab/platform.ts
+++ b/src/lab/platform.ts
@@ -6,11 +6,12 @@
 import { HttpClient } from "../http/client.js";
 import { freePort, type NodeAddresses, settingsText } from "../local/index.js";
 import { hash } from "../membership/layout.js";
+import type { Team } from "../settings/settings.js";
 import { ControllerProcess, controllerCommand, LabProcess } from "./children.js";
 import type { History } from "./history.js";
 import { hostKey } from "./hollow-workers.js";
-import type { Assignment, FromProcess, RegionalTeam, Role } from "./messages.js";
-import type { Region, Scenario } from "./scenario.js";
+import type { Assignment, FromProcess, Role } from "./messages.js";
+import { type Region, type Scenario, teamNames } from "./scenario.js";
 
 const READY_MS = 30_000;
 const PROBE_MS = 200;
@@ -25,12 +26,12 @@
 }
 
 /** What a region holds of each team's guarantee and limit: as much as it has of the machines. */
-export function regionalTeams({ teams, regions }: Scenario, region: Region): RegionalTeam[] {
+export function regionalTeams(scenario: Scenario, region: Region): Team[] {
+  const { teams, regions } = scenario;
   const machines = regions.reduce((sum, one) => sum + one.machines, 0);
   const share = region.machines / machines;
-  const width = String(teams.count).length;
-  return Array.from({ length: teams.count }, (_, n) => ({
-    name: `team-${String(n + 1).padStart(width, "0")}`,
+  return teamNames(scenario).map((name) => ({
+    name,
     cpus: Math.floor(teams.guarantee_cpus * share),
     cpus_max: Math.max(1, Math.floor(teams.limit_cpus * share)),
     gpus: 0,
@@ -66,7 +67,6 @@
   /** @throws Error when a process does not start, or no controller of a region serves in time */
   async start(): Promise<void> {
     const { scenario } = this;
-    const started: { region: Region; addresses: { state: string; cloud: string } }[] = [];
     for (const region of scenario.regions) {
       const [state, cloud] = [this.#process("state", region), this.#process("cloud", region)];
       const nodes = await this.#nodesOf(region);
@@ -76,7 +76,6 @@
       const users = this.#process("users", region);
       this.regions.push({ region, state, cloud, users, controllers: [] });
       const addresses = { state: await state.begin(), cloud: await cloud.begin() };
-      started.push({ region, addresses });
       this.regions.at(-1)!.controllers = this.#controllers(region, nodes, addresses);
     }
     for (let n = 0; n < scenario.workers.processes; n++) {
--- a/src/lab/run.ts
+++ b/src/lab/run.ts
@@ -6,7 +6,7 @@
 import type { ControllerProcess, LabProcess } from "./children.js";
 import { Faults } from "./faults.js";
 import { History } from "./history.js";
-import { type Figures, sharedNow, type UserCounts } from "./messages.js";
+import { type Figures, noCounts, sharedNow, type UserCounts } from "./messages.js";
 import { LabPlatform } from "./platform.js";
 import type { ProcessUse, Resources } from "./resources.js";
 import {
@@ -19,7 +19,7 @@
   stateResults,
   workerResults,
 } from "./results.js";
-import type { Scenario } from "./scenario.js";
+import { type Scenario, SERVICES_PER_REGION, teamNames } from "./scenario.js";
 
 const PROGRESS_MS = 5000;
 const METRICS_MS = 2000;
@@ -71,13 +71,7 @@
   signal: AbortSignal,
 ): Promise<LabResults> {
   const { teams, workers } = scenario;
-  const width = String(teams.count).length;
-  const limits = new Map(
-    Array.from({ length: teams.count }, (_, n) => [
-      `team-${String(n + 1).padStart(width, "0")}`,
-      teams.limit_cpus,
-    ]),
-  );
+  const limits = new Map(teamNames(scenario).map((name) => [name, teams.limit_cpus]));
   const history = new History(limits, workers.cancel_s * 1000, workers.processes);
   const platform = new LabPlatform(scenario, program, history);
   const faults = new Faults(platform, say);
@@ -99,8 +93,11 @@
   signal: AbortSignal,
 ): Promise<LabResults> {
   const { scenario } = platform;
-  const tooLarge = new AbortController();
-  const ends = AbortSignal.any([signal, tooLarge.signal]);
+  const stop = new AbortController();
+  const interrupt = (): void => stop.abort();
+  signal.addEventListener("abort", interrupt, { once: true });
+  if (signal.aborted) interrupt();
+  let tooLarge: string | null = null;
   const startedAt = sharedNow();
   const from = startedAt + scenario.warmup_s * 1000;
   history.measure(from, from + scenario.length_s * 1000);
@@ -109,21 +106,24 @@
   const progress = setInterval(() => {
     const seconds = Math.round((sharedNow() - startedAt) / 1000);
     const mb = residentMb(platform);
-    if (mb > mostMb)
-      tooLarge.abort(new Error(`the run holds ${Math.round(mb)} MB, at most ${mostMb}`));
+    if (mb > mostMb) {
+      tooLarge = `the run holds ${Math.round(mb)} MB, at most ${mostMb}`;
+      stop.abort();
+    }
     say(`${seconds} s: ${platform.up.size} machines, ${history.running} tasks running`);
   }, PROGRESS_MS);
   try {
-    await wait(from - sharedNow(), ends);
+    await wait(from - sharedNow(), stop.signal);
     const before = await sample(platform);
     say("measuring");
-    await wait(from + scenario.length_s * 1000 - sharedNow(), ends);
-    tooLarge.signal.throwIfAborted();
+    await wait(from + scenario.length_s * 1000 - sharedNow(), stop.signal);
+    if (tooLarge !== null) throw new Error(tooLarge);
     const after = await sample(platform);
     const said = await Promise.all(platform.controllers.map(saidBy));
     return resultsOf(platform, history, before, after, said, !signal.aborted);
   } finally {
     clearInterval(progress);
+    signal.removeEventListener("abort", interrupt);
   }
 }
 
@@ -226,8 +226,8 @@
   const heaps = said.map(({ heapMb }) => heapMb);
   const seconds = Math.max(0.001, (after.at - before.at) / 1000);
   const state = regions.map(({ region }, i) => {
-    // Of each region: state service, cloud, users, in this order.
-    const at = i * 3;
+    // Of each region the state service comes first.
+    const at = i * SERVICES_PER_REGION;
     return stateResults(region.name, before.figures[at]!, after.figures[at]!, seconds);
   });
   const workerUse = after.roles[1]!;
@@ -245,14 +245,7 @@
     null,
   ];
   const users = figuresOf("users", after.figures);
-  const jobs: UserCounts = {
-    submitted: 0,
-    accepted: 0,
-    done: 0,
-    cancelled: 0,
-    failed: 0,
-    open: 0,
-  };
+  const jobs = noCounts();
   for (const { counts } of users) {
     for (const name of Object.keys(jobs) as (keyof UserCounts)[]) jobs[name] += counts[name];
   }
--- a/src/lab/scenario.ts
+++ b/src/lab/scenario.ts
@@ -123,6 +123,14 @@
 export type Distribution = z.infer<typeof distribution>;
 export type Region = Scenario["regions"][number];
 
+export const teamNames = ({ teams }: Scenario): string[] => {
+  const width = String(teams.count).length;
+  return Array.from(
+    { length: teams.count },
+    (_, n) => `team-${String(n + 1).padStart(width, "0")}`,
+  );
+};
+
 /** Bounds of what one run may start on a machine. */
 const MOST_PROCESSES = 40;
 /** Of a region, beside its controllers: state service, cloud, users. */
--- a/src/lab/users.ts
+++ b/src/lab/users.ts
@@ -10,6 +10,7 @@
   type Assignment,
   type Figures,
   type FromProcess,
+  noCounts,
   sharedNow,
   type ToProcess,
   type UserCounts,
@@ -32,14 +33,7 @@
   #caller: HttpClient | null = null;
   #submitted = 0;
   #startedAt = 0;
-  readonly #counts: UserCounts = {
-    submitted: 0,
-    accepted: 0,
-    done: 0,
-    cancelled: 0,
-    failed: 0,
-    open: 0,
-  };
+  readonly #counts: UserCounts = noCounts();
   #author: ConfigurationAuthor | null = null;
 
   constructor(
--- a/src/part/quota.ts
+++ b/src/part/quota.ts
@@ -36,10 +36,10 @@
   /** Raised to this while tasks wait for quota, lowered to it from above `most`. */
   low: Amounts;
   most: Amounts;
-  /** What the tasks here that run and wait would need of the limit. */
-  needed: Amounts;
   /** Unused for a while: not needed, and whatever waits here for machines. */
   spare: { surplus: Amounts; idle: Amounts };
+  /** CPUs of the largest task that waits here; 1 where none does. */
+  step: number;
   /** Whether another part is short. */
   elsewhere: boolean;
   /** The slices add up to more than the limit, since it was lowered: nothing starts. */
@@ -66,6 +66,8 @@
   readonly #idle: UnusedSlices;
   /** By team, until when its tasks here that find no machine ask for no quota. */
   readonly #givenUntil = new Map<string, number>();
+  /** Shapes of such tasks that found no machine in this pass. */
+  readonly #roomless = new Set<string>();
   /** By team: what its record was when it was last read, and what was in it. */
   readonly #read = new Map<string, { value: unknown; record: SliceRecord }>();
   /** Teams that could not place a task for want of quota, in the last pass. */
@@ -112,6 +114,7 @@
   begin(): void {
     this.short.clear();
     this.#fair.clear();
+    this.#roomless.clear();
     const { index, limits, parts, summaries } = this.ctx;
     const mine = this.ledger.demand();
     const others = new Map<string, Demand>();
@@ -136,10 +139,6 @@
         cpus: target(limit.cpus, own.cpus, rest.cpus, parts),
         gpus: target(limit.gpus, own.gpus, rest.gpus, parts),
       };
-      const needed = {
-        cpus: target(limit.cpus, own.cpus, rest.cpus, Number.POSITIVE_INFINITY),
-        gpus: target(limit.gpus, own.gpus, rest.gpus, Number.POSITIVE_INFINITY),
-      };
       const holding = this.#slices.get(team) ?? ZERO;
       const use = this.ledger.use.get(team) ?? ZERO;
       const all = others.get(team) ?? noDemand();
@@ -151,7 +150,7 @@
           cpus: Math.ceil((slice.cpus * SLACK) / step) * step,
           gpus: Math.ceil(slice.gpus * SLACK),
         },
-        needed: { ...needed, cpus: Math.floor(needed.cpus / step) * step },
+        step,
         spare: {
           surplus: this.#surplus.observe(team, holding, use),
           idle: this.#idle.observe(team, holding, use),
@@ -224,9 +223,14 @@
     const { ctx, ledger } = this;
     const until = this.#givenUntil.get(spec.team);
     if (until === undefined) return false;
+    const shape = `${spec.team}/${spec.cpus}/${spec.gpus}/${spec.memGb}`;
+    if (this.#roomless.has(shape)) return true;
     const fits = (machine: Machine): boolean =>
       usable(machine, ctx) && fitsRoom(machine.roomIn(ctx.types()), spec);
-    if (ctx.clock.now() < until && ![...ledger.machines.values()].some(fits)) return true;
+    if (ctx.clock.now() < until && ![...ledger.machines.values()].some(fits)) {
+      this.#roomless.add(shape);
+      return true;
+    }
     this.#givenUntil.delete(spec.team);
     return false;
   }
@@ -253,7 +257,7 @@
               use: use[resource],
               low: fair.low[resource],
               most: fair.most[resource],
-              spare: spareOf(fair, own, resource),
+              spare: spareOf(fair, own[resource], limit[resource], resource),
             },
             free[resource],
             short?.[resource],
@@ -341,9 +345,18 @@
 });
 
 /** What a part can give up of one resource without stopping anything. */
-function spareOf({ needed, spare }: FairSlice, own: Amounts, resource: keyof Amounts): number {
-  const beyond = Math.max(0, own[resource] - needed[resource]);
-  return Math.max(spare.idle[resource], Math.min(spare.surplus[resource], beyond));
+function spareOf(
+  { spare, own, rest, step }: FairSlice,
+  slice: number,
+  limit: number,
+  resource: keyof Amounts,
+): number {
+  const surplus = spare.surplus[resource];
+  if (surplus <= EPSILON) return spare.idle[resource];
+  // What the tasks here that run and wait would need of the limit: nothing of what is left over.
+  const share = target(limit, own[resource], rest[resource], Number.POSITIVE_INFINITY);
+  const needed = resource === "cpus" ? Math.floor(share / step) * step : share;
+  return Math.max(spare.idle[resource], Math.min(surplus, Math.max(0, slice - needed)));
 }
 
 /** One resource of a slice: what it is, what of it is used and spare, and its fair bounds. */
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -29,7 +29,6 @@
   configuration: (rest: string): string => `w/c/${rest}`,
   /** Names the newest revision; commits that decide by one depend on its version. */
   configurationHead: "w/c/head",
-  configurationHistory: "w/c/h/",
   configurationEntry: (revision: number): string =>
     `w/c/h/${String(revision).padStart(REVISION_DIGITS, "0")}`,
   configurationPiece: (id: string, number: number): string => `w/c/p/${id}/${number}`,
--- /dev/null
+++ b/test/configuration-author.test.ts
@@ -0,0 +1,229 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ConfigurationClient, Overtaken } from "../src/configuration/client.js";
+import { isHead, isHistoryEntry, NO_OVERRIDES } from "../src/configuration/index.js";
+import { keys } from "../src/state/keys.js";
+import type { Change, Condition } from "../src/state/store.js";
+import { ConfiguredWorld } from "./support/configured.js";
+
+test("configuration: 130 teams fit the smallest limits, in pieces before the head; older pieces go", async () => {
+  const many = Array.from({ length: 130 }, (_, n) => ({ name: `team-${n}`, cpus: 1, max: 40 }));
+  const world = new ConfiguredWorld(3, 3, {}, many, {
+    ops: 4,
+    conditions: 16,
+    valueBytes: 2048,
+  });
+  await world.ready();
+  for (let round = 1; round <= 4; round++) {
+    const change = {
+      teams: many.map(({ name }) => ({
+        name,
+        limit: { cpus: 10 + round },
+        guarantee: { cpus: round },
+        weight: 1.25,
+      })),
+      groups: [],
+    };
+    const answer = world.change(0, change, round - 1);
+    await world.clock.run(6000);
+    assert.equal((await answer)?.status, 200, JSON.stringify(await answer));
+  }
+  const pieces = [...world.state.rows.keys()].filter((key) => keys.ownerOfPiece(key) !== null);
+  assert.ok(new Set(pieces.map(keys.ownerOfPiece)).size <= 2, pieces.join());
+  assert.ok(pieces.length > 4);
+  const entries = [...world.state.rows].filter(([key]) => key.startsWith("w/c/h/"));
+  assert.equal(entries.length, 4);
+  for (const [key, { value }] of entries) {
+    assert.ok(isHistoryEntry(value), key);
+    assert.match(value.changes.at(-1)!, /^and \d+ more$/);
+  }
+  const asked = world.ask(1, "GET", "/about/configuration");
+  await world.clock.run(1000);
+  const { revision, teams: shown } = (await asked)!.body as {
+    revision: number;
+    teams: { name: string; limit: { cpus: number } }[];
+  };
+  assert.equal(revision, 4);
+  assert.deepEqual(new Set(shown.map(({ limit }) => limit.cpus)), new Set([14]));
+  world.stop();
+});
+
+test("configuration: the history keeps so many revisions and no more", async () => {
+  const world = new ConfiguredWorld(4, 3);
+  await world.ready();
+  for (let round = 0; round < 56; round++) {
+    const change = { teams: [{ name: "red", weight: 1 + round }], groups: [] };
+    const answer = world.change(round % 3, change, round);
+    await world.clock.run(3000);
+    assert.equal((await answer)?.status, 200, `${round}: ${JSON.stringify(await answer)}`);
+  }
+  const asked = world.ask(0, "GET", "/about/configuration/history");
+  await world.clock.run(500);
+  const { history } = (await asked)!.body as { history: { revision: number; by: string }[] };
+  assert.equal(history.length, 50);
+  assert.deepEqual([history[0]?.revision, history.at(-1)?.revision], [7, 56]);
+  world.stop();
+});
+
+const bad: { name: string; body: object }[] = [
+  { name: "no id", body: { base: 0, by: "x", why: "", change: NO_OVERRIDES } },
+  {
+    name: "an id with a slash",
+    body: { id: "a/b", base: 0, by: "x", why: "", change: NO_OVERRIDES },
+  },
+  { name: "no author", body: { id: "a", base: 0, by: "", why: "", change: NO_OVERRIDES } },
+  { name: "a base of text", body: { id: "a", base: "0", by: "x", why: "", change: NO_OVERRIDES } },
+  {
+    name: "a long reason",
+    body: { id: "a", base: 0, by: "x", why: "é".repeat(101), change: NO_OVERRIDES },
+  },
+  {
+    name: "a limit of text",
+    body: {
+      id: "a",
+      base: 0,
+      by: "x",
+      why: "",
+      change: { teams: [{ name: "red", limit: { cpus: "9" } }], groups: [] },
+    },
+  },
+];
+test("configuration: requests that make no sense get 400, and make no revision", async () => {
+  const world = new ConfiguredWorld(8, 3);
+  await world.ready();
+  for (const { name, body } of bad) {
+    const answer = world.ask(0, "POST", "/about/configuration", body);
+    await world.clock.run(500);
+    assert.equal((await answer)?.status, 400, name);
+  }
+  const above = world.change(0, { teams: [{ name: "red", limit: { cpus: 99 } }], groups: [] }, 0);
+  const dry = world.ask(1, "POST", "/about/configuration", {
+    id: "dry",
+    base: 0,
+    by: "x",
+    why: "",
+    dryRun: true,
+    change: { teams: [{ name: "red", limit: { cpus: 9 } }], groups: [] },
+  });
+  await world.clock.run(2000);
+  assert.equal((await above)?.status, 422);
+  assert.deepEqual((await dry)?.body, {
+    kind: "planned",
+    revision: 1,
+    changes: ["team red: limit 24 CPUs, any GPUs -> 9 CPUs, any GPUs"],
+    warnings: ["red: is guaranteed 12 CPUs and may use 9"],
+  });
+  assert.equal(world.state.rows.has(keys.configurationHead), false);
+  assert.equal(world.state.rows.has(keys.schema), false);
+  world.stop();
+});
+
+test("configuration: the client waits until all that hold parts decide by a revision, or says who lags", async () => {
+  const world = new ConfiguredWorld(12, 3);
+  await world.ready();
+  const client = new ConfigurationClient("", world.clock, {
+    call: async (method, path, body) => {
+      const answer = await world.ask(0, method, path, body as object);
+      if (answer === null) throw new Error("no answer");
+      return answer;
+    },
+  });
+  const request = { base: 0, by: "x", why: "", dryRun: false };
+  const change = { teams: [{ name: "red", limit: { cpus: 9 } }], groups: [] };
+  const made = client.apply({ ...request, id: "one", change });
+  await world.clock.run(4000);
+  assert.equal((await made).revision, 1);
+  const waited = client.inForce(1, 14_000);
+  await world.clock.run(14_000);
+  assert.deepEqual(await waited, []);
+  const late = client.apply({ ...request, id: "two", change });
+  const failed = assert.rejects(late, Overtaken);
+  await world.clock.run(1000);
+  await failed;
+  world.clocks[1]!.freeze();
+  const second = client.apply({ ...request, base: 1, id: "three", change });
+  await world.clock.run(1000);
+  assert.equal((await second).revision, 2);
+  // Its lease has not ended yet: it still holds a part.
+  const lagging = client.inForce(2, 500);
+  await world.clock.run(1000);
+  assert.deepEqual(
+    (await lagging).map(({ node }) => node),
+    ["n1"],
+  );
+  world.stop();
+});
+
+const MANY = Array.from({ length: 130 }, (_, n) => ({ name: `team-${n}`, cpus: 1, max: 40 }));
+const SMALLEST = { ops: 4, conditions: 16, valueBytes: 2048 };
+const forAll = (cpus: number) => ({
+  teams: MANY.map(({ name }) => ({ name, limit: { cpus }, weight: 1.25 })),
+  groups: [],
+});
+
+/** Whether all pieces of the revision in force are there. */
+function isWhole(world: ConfiguredWorld): boolean {
+  const head = world.state.rows.get(keys.configurationHead)?.value;
+  assert.ok(isHead(head));
+  return Array.from({ length: head.pieces }, (_, n) =>
+    world.state.rows.has(keys.configurationPiece(head.id, n)),
+  ).every((there) => there);
+}
+
+const isPiece = (change: Change): boolean =>
+  keys.ownerOfPiece("put" in change ? change.put : change.remove) !== null;
+
+test("configuration: a piece that is gone before its head is written: all are written anew", async () => {
+  const world = new ConfiguredWorld(13, 3, {}, MANY, SMALLEST);
+  await world.ready();
+  const store = world.stores[0]!;
+  const transact = store.transact.bind(store);
+  let lost = 0;
+  store.transact = async (when, then) => {
+    const result = await transact(when, then);
+    const [first] = then;
+    if (lost === 0 && first !== undefined && "put" in first && then.every(isPiece)) {
+      lost++;
+      world.state.transact([], [{ remove: first.put }]);
+    }
+    return result;
+  };
+  const answer = world.change(0, forAll(9), 0);
+  await world.clock.run(8000);
+  assert.equal((await answer)?.status, 200);
+  assert.equal(lost, 1);
+  assert.ok(isWhole(world));
+  assert.ok([...world.deciders().values()].every((revision) => revision === 1));
+  world.stop();
+});
+
+test("configuration: pieces that are removed late do not go once they are in force", async () => {
+  const world = new ConfiguredWorld(14, 3, {}, MANY, SMALLEST);
+  await world.ready();
+  const first = world.change(0, forAll(30), 0);
+  await world.clock.run(6000);
+  assert.equal((await first)?.status, 200);
+  // Another author has written a piece, and not its head yet.
+  const value = { teams: [], groups: [] };
+  world.state.transact([], [{ put: keys.configurationPiece("slow", 0), value }]);
+  await world.clock.run(500);
+  const held: { when: Condition[]; then: Change[] }[] = [];
+  const store = world.stores[0]!;
+  const transact = store.transact.bind(store);
+  store.transact = (when, then) => {
+    if (!then.every((change) => "remove" in change && isPiece(change))) return transact(when, then);
+    held.push({ when, then });
+    return Promise.reject(new Error("no answer"));
+  };
+  const second = world.change(0, forAll(20), 1);
+  await world.clock.run(6000);
+  assert.equal((await second)?.status, 200);
+  assert.ok(held.some(({ then }) => JSON.stringify(then).includes("slow")));
+  const third = world.change(1, forAll(10), 2, "slow");
+  await world.clock.run(6000);
+  assert.equal((await third)?.status, 200);
+  for (const { when, then } of held) world.state.transact(when, then);
+  await world.clock.run(1000);
+  assert.ok(isWhole(world));
+  world.stop();
+});
--- a/test/configuration-world.test.ts
+++ b/test/configuration-world.test.ts
@@ -105,9 +105,18 @@
       world.clock.after(100, again);
     };
     again();
+    let deepest = 0;
+    const look = (): void => {
+      for (const { writes } of world.stores)
+        deepest = Math.min(deepest, writes.level / writes.burst);
+      world.clock.after(100, look);
+    };
+    look();
     world.clock.after(6000, () => world.crash(0, 4000));
     world.clock.after(12_000, () => world.crash(2, 4000));
     await world.clock.run(60_000);
+    // A flood of revisions keeps nobody from placing for longer than a few seconds.
+    assert.ok(deepest > -2, `${deepest} bursts`);
     assert.ok(world.made.size > 20, `${world.made.size} made`);
     assert.equal(world.made.has(world.revision), true);
     for (const [node, revision] of world.deciders()) assert.equal(revision, world.revision, node);
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { ConfigurationClient, Overtaken } from "../src/configuration/client.js";
 import { readChange } from "../src/configuration/file.js";
 import {
   type BaseConfiguration,
@@ -9,10 +8,8 @@
   divide,
   effectiveOf,
   faultOf,
-  isHistoryEntry,
   isOverrides,
   join,
-  LiveConfiguration,
   merge,
   NO_OVERRIDES,
   type Overrides,
@@ -22,13 +19,6 @@
 import { ROOT } from "../src/fair/share.js";
 import { NO_LIMIT } from "../src/quota/limits.js";
 import { parseTuning } from "../src/settings/tuning.js";
-import { keys } from "../src/state/keys.js";
-import { Mirror } from "../src/state/mirror.js";
-import { FakeClock } from "./support/clock.js";
-import { LIMITS, quiet } from "./support/common.js";
-import { ConfiguredWorld } from "./support/configured.js";
-import { Random } from "./support/random.js";
-import { FakeState, FakeStore } from "./support/store.js";
 
 const teams = [
   { name: "red", cpus: 8, cpus_max: 20, gpus: 0, gpus_max: NO_LIMIT },
@@ -36,7 +26,11 @@
   { name: "free", cpus: 0, cpus_max: NO_LIMIT, gpus: 0, gpus_max: NO_LIMIT },
 ];
 const tuning = 'group { name: "warm" weight: 2 } team { name: "red" group: "warm" weight: 3 }';
-const base: BaseConfiguration = { teams, groups: parseTuning(tuning, "t", teams).groups };
+const base: BaseConfiguration = {
+  teams,
+  guests: [],
+  groups: parseTuning(tuning, "t", teams).groups,
+};
 const set = (overrides: Partial<Overrides>): Overrides => ({ ...NO_OVERRIDES, ...overrides });
 
 test("configuration: without a revision all is as at start", () => {
@@ -241,230 +235,3 @@
     message: /^t:1: red: guarantees and limits are set by `birchdale config apply`/,
   });
 });
-
-test("configuration: 130 teams fit the smallest limits, in pieces before the head; older pieces go", async () => {
-  const many = Array.from({ length: 130 }, (_, n) => ({ name: `team-${n}`, cpus: 1, max: 40 }));
-  const world = new ConfiguredWorld(3, 3, {}, many, {
-    ops: 4,
-    conditions: 16,
-    valueBytes: 2048,
-  });
-  await world.ready();
-  for (let round = 1; round <= 4; round++) {
-    const change = {
-      teams: many.map(({ name }) => ({
-        name,
-        limit: { cpus: 10 + round },
-        guarantee: { cpus: round },
-        weight: 1.25,
-      })),
-      groups: [],
-    };
-    const answer = world.change(0, change, round - 1);
-    await world.clock.run(6000);
-    assert.equal((await answer)?.status, 200, JSON.stringify(await answer));
-  }
-  const pieces = [...world.state.rows.keys()].filter((key) => keys.ownerOfPiece(key) !== null);
-  assert.ok(new Set(pieces.map(keys.ownerOfPiece)).size <= 2, pieces.join());
-  assert.ok(pieces.length > 4);
-  const entries = [...world.state.rows].filter(([key]) =>
-    key.startsWith(keys.configurationHistory),
-  );
-  assert.equal(entries.length, 4);
-  for (const [key, { value }] of entries) {
-    assert.ok(isHistoryEntry(value), key);
-    assert.match(value.changes.at(-1)!, /^and \d+ more$/);
-  }
-  const asked = world.ask(1, "GET", "/about/configuration");
-  await world.clock.run(1000);
-  const { revision, teams: shown } = (await asked)!.body as {
-    revision: number;
-    teams: { name: string; limit: { cpus: number } }[];
-  };
-  assert.equal(revision, 4);
-  assert.deepEqual(new Set(shown.map(({ limit }) => limit.cpus)), new Set([14]));
-  world.stop();
-});
-
-test("configuration: the history keeps so many revisions and no more", async () => {
-  const world = new ConfiguredWorld(4, 3);
-  await world.ready();
-  for (let round = 0; round < 56; round++) {
-    const change = { teams: [{ name: "red", weight: 1 + round }], groups: [] };
-    const answer = world.change(round % 3, change, round);
-    await world.clock.run(3000);
-    assert.equal((await answer)?.status, 200, `${round}: ${JSON.stringify(await answer)}`);
-  }
-  const asked = world.ask(0, "GET", "/about/configuration/history");
-  await world.clock.run(500);
-  const { history } = (await asked)!.body as { history: { revision: number; by: string }[] };
-  assert.equal(history.length, 50);
-  assert.deepEqual([history[0]?.revision, history.at(-1)?.revision], [7, 56]);
-  world.stop();
-});
-
-const bad: { name: string; body: object }[] = [
-  { name: "no id", body: { base: 0, by: "x", why: "", change: NO_OVERRIDES } },
-  {
-    name: "an id with a slash",
-    body: { id: "a/b", base: 0, by: "x", why: "", change: NO_OVERRIDES },
-  },
-  { name: "no author", body: { id: "a", base: 0, by: "", why: "", change: NO_OVERRIDES } },
-  { name: "a base of text", body: { id: "a", base: "0", by: "x", why: "", change: NO_OVERRIDES } },
-  {
-    name: "a long reason",
-    body: { id: "a", base: 0, by: "x", why: "é".repeat(101), change: NO_OVERRIDES },
-  },
-  {
-    name: "a limit of text",
-    body: {
-      id: "a",
-      base: 0,
-      by: "x",
-      why: "",
-      change: { teams: [{ name: "red", limit: { cpus: "9" } }], groups: [] },
-    },
-  },
-];
-test("configuration: requests that make no sense get 400, and make no revision", async () => {
-  const world = new ConfiguredWorld(8, 3);
-  await world.ready();
-  for (const { name, body } of bad) {
-    const answer = world.ask(0, "POST", "/about/configuration", body);
-    await world.clock.run(500);
-    assert.equal((await answer)?.status, 400, name);
-  }
-  const above = world.change(0, { teams: [{ name: "red", limit: { cpus: 99 } }], groups: [] }, 0);
-  const dry = world.ask(1, "POST", "/about/configuration", {
-    id: "dry",
-    base: 0,
-    by: "x",
-    why: "",
-    dryRun: true,
-    change: { teams: [{ name: "red", limit: { cpus: 9 } }], groups: [] },
-  });
-  await world.clock.run(2000);
-  assert.equal((await above)?.status, 422);
-  assert.deepEqual((await dry)?.body, {
-    kind: "planned",
-    revision: 1,
-    changes: ["team red: limit 24 CPUs, any GPUs -> 9 CPUs, any GPUs"],
-    warnings: ["red: is guaranteed 12 CPUs and may use 9"],
-  });
-  assert.equal(world.state.rows.has(keys.configurationHead), false);
-  assert.equal(world.state.rows.has(keys.schema), false);
-  world.stop();
-});
-
-test("configuration: the client waits until all that hold parts decide by a revision, or says who lags", async () => {
-  const world = new ConfiguredWorld(12, 3);
-  await world.ready();
-  const client = new ConfigurationClient("", world.clock, {
-    call: async (method, path, body) => {
-      const answer = await world.ask(0, method, path, body as object);
-      if (answer === null) throw new Error("no answer");
-      return answer;
-    },
-  });
-  const request = { base: 0, by: "x", why: "", dryRun: false };
-  const change = { teams: [{ name: "red", limit: { cpus: 9 } }], groups: [] };
-  const made = client.apply({ ...request, id: "one", change });
-  await world.clock.run(4000);
-  assert.equal((await made).revision, 1);
-  const waited = client.inForce(1, 14_000);
-  await world.clock.run(14_000);
-  assert.deepEqual(await waited, []);
-  const late = client.apply({ ...request, id: "two", change });
-  const failed = assert.rejects(late, Overtaken);
-  await world.clock.run(1000);
-  await failed;
-  world.clocks[1]!.freeze();
-  const second = client.apply({ ...request, base: 1, id: "three", change });
-  await world.clock.run(1000);
-  assert.equal((await second).revision, 2);
-  // Its lease has not ended yet: it still holds a part.
-  const lagging = client.inForce(2, 500);
-  await world.clock.run(1000);
-  assert.deepEqual(
-    (await lagging).map(({ node }) => node),
-    ["n1"],
-  );
-  world.stop();
-});
-
-/** What follows revisions, with nothing around it. */
-class Follower {
-  readonly clock = new FakeClock();
-  readonly mirror: Mirror;
-  readonly live: LiveConfiguration;
-  #version = 0;
-
-  constructor() {
-    const state = new FakeState(this.clock, LIMITS);
-    const store = new FakeStore(state, this.clock, new Random(1), LIMITS, 1000);
-    this.mirror = new Mirror(store, this.clock, quiet, 1000);
-    this.live = new LiveConfiguration({
-      base,
-      mirror: this.mirror,
-      store,
-      clock: this.clock,
-      log: quiet,
-      node: "n0",
-      run: "r",
-      lease: () => null,
-      patienceMs: 12_000,
-      sayMs: 500,
-      changed: () => undefined,
-    });
-    this.mirror.ready = true;
-    this.live.start();
-  }
-
-  hear(key: string, value: unknown): void {
-    this.mirror.apply({ key, value, version: ++this.#version, deleted: false });
-  }
-
-  head(revision: number, pieces: number): void {
-    const id = `r${revision}`;
-    this.hear(keys.configurationHead, { revision, id, pieces, by: "x", why: "", at: 0 });
-  }
-
-  piece(revision: number, number: number, cpus: number): void {
-    const value = { teams: [{ name: "red", limit: { cpus } }], groups: [] };
-    this.hear(keys.configurationPiece(`r${revision}`, number), value);
-  }
-}
-
-test("configuration: in the middle of a listing a revision does not count, after it it does", async () => {
-  const follower = new Follower();
-  follower.mirror.ready = false;
-  follower.head(1, 1);
-  follower.piece(1, 0, 9);
-  await follower.clock.run(2000);
-  assert.equal(follower.live.effective.revision, 0);
-  assert.equal(follower.live.condition().version, 0);
-  follower.mirror.ready = true;
-  await follower.clock.run(600);
-  assert.equal(follower.live.effective.revision, 1);
-  assert.equal(follower.live.limits.get("red")?.cpus, 9);
-});
-
-test("configuration: pieces that come late are waited for under the old condition, for a lease", async () => {
-  for (const late of [2000, 20_000]) {
-    const follower = new Follower();
-    follower.head(1, 2);
-    follower.piece(1, 1, 9);
-    await follower.clock.run(late);
-    const refused = late > 12_000;
-    assert.equal(follower.live.condition().version, refused ? 1 : 0);
-    assert.equal(follower.live.current, !refused);
-    follower.piece(1, 0, 8);
-    await follower.clock.run(1000);
-    assert.equal(follower.live.effective.revision, refused ? 0 : 1);
-    // The next one is used either way.
-    follower.piece(2, 0, 7);
-    follower.head(2, 1);
-    assert.equal(follower.live.effective.revision, 2);
-    assert.ok(follower.live.current);
-  }
-});
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -244,8 +244,8 @@
         .filter((pid) => pid !== "")
     : [];
 
-const tiny = (settings: string[]) =>
-  loadScenario(SMALL, [
+const tiny = (settings: string[], file = SMALL) =>
+  loadScenario(file, [
     "regions.0.machines=4",
     "regions.1.machines=3",
     "regions.2.machines=3",
@@ -254,6 +254,7 @@
     "workers.cancel_s=10",
     "arrivals.jobs_per_s=2",
     "arrivals.initial_jobs=2",
+    "workers.processes=2",
     "warmup_s=2",
     "length_s=4",
     ...settings,
@@ -281,6 +282,38 @@
   assert.deepEqual(children(), before);
 });
 
+test("lab: a run with all its faults goes on, tells of each, and breaks no rule", async () => {
+  const before = children();
+  const scenario = tiny(
+    [
+      "length_s=10",
+      "teams.count=4",
+      "faults.controller_killed_at_s=2",
+      "faults.controller_back_after_s=2",
+      "faults.controller_drained_at_s=9",
+      "faults.machines_lost.at_s=3",
+      "faults.machines_lost.count=2",
+      "faults.state_out.at_s=5",
+      "faults.state_out.length_s=1",
+      "faults.machine_failures_per_day=100",
+      "faults.machine_restarts_per_day=400",
+    ],
+    TARGET,
+  );
+  const said: string[] = [];
+  const options = { scenario, program: PROGRAM, say: (text: string) => void said.push(text) };
+  const results = await runScenario(options, new AbortController().signal);
+  const told = (pattern: RegExp): boolean => said.some((text) => pattern.test(text));
+  for (const pattern of [/killed$/, /^2 machines lost$/, /out$/, /back$/, /drained$/])
+    assert.ok(told(pattern), `${pattern} in ${said.join("; ")}`);
+  assert.deepEqual(results.violations, []);
+  // One that the run has killed has not ended by itself.
+  assert.deepEqual(results.controllerEnds, []);
+  assert.ok(results.jobs.accepted > 0);
+  assert.ok((results.configuration?.changes ?? 0) > 0);
+  assert.deepEqual(children(), before);
+});
+
 test("lab: an interrupted run ends all that it started, and says that it is not complete", async () => {
   const before = children();
   const stop = new AbortController();
--- a/test/support/configured.ts
+++ b/test/support/configured.ts
@@ -112,7 +112,7 @@
       return value;
     });
     const { teams } = settingsFor(0, this.nodes, this.teams).params;
-    const base = { teams, groups: defaultTuning(teams).groups };
+    const base = { teams, guests: [], groups: defaultTuning(teams).groups };
     for (const [team, { cpus }] of effectiveOf(base, join(found), revision).limits)
       this.limits.get(team)!.push({ at: this.clock.now(), limit: cpus });
   }
