--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -113,7 +113,7 @@
       nodes: this.addresses,
       reportMs: workers.reportS * 1000,
       leaseMs: workers.leaseS * 1000,
-      commands: false,
+      commands: true,
       jobOf: (uid) => this.jobs.get(uid),
       savedProgress: this.saved,
       onTaskEvent: (event) => this.#task(event),
