--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -69,9 +69,8 @@
   constructor(record, options) {
     this.record = record;
     this.options = options;
-    const { state, next = {}, types, capacity } = options;
-    // The service has the limits of now; what it is to have later is in the settings only.
-    void next;
+    // The service has the limits of now; what it is to have later (`next`) is in the settings only.
+    const { state, types, capacity } = options;
     this.state = new StateService(clock, {
       ops: state.txnOps,
       conditions: 4 * state.txnOps,
@@ -214,7 +213,9 @@
     const { child } = this.node(name);
     this.record.line(`TROUBLE controller ${name} crashes`);
     child?.kill("SIGKILL");
-    setTimeout(() => this.startNode(name), backS * 1000);
+    setTimeout(() => {
+      if (this.node(name).child === null) this.startNode(name);
+    }, backS * 1000);
   }
 
   /** One request of a user through the load balancer; null without an answer. */
